--- /dev/null
+++ b/papayatray_core/src/choice.rs
@@ -0,0 +1,170 @@
+//! Choice of the version that answers a request.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::catalogue::Version;
+use crate::id::Kind;
+use crate::id::VersionId;
+
+/// Ratings that the declared quality counts for.
+const PRIOR_WEIGHT: f64 = 8.0;
+/// Standard deviations that an estimate must lie above what is owed.
+const CAUTION: f64 = 1.0;
+/// Full quality in thousandths.
+const FULL: f64 = 1_000.0;
+/// Tokens of a prompt and of an answer that prices are compared by.
+const USUAL_TOKENS: u64 = 1_000;
+/// Most ratings that count, so that the newest keep their weight.
+const RATINGS_KEPT: f64 = 400.0;
+
+/// Ratings of a version for one kind of request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ratings {
+    /// Count of ratings.
+    pub count: f64,
+    /// Sum of ratings, each from zero to one.
+    pub sum: f64,
+    /// Sum of the squares of ratings.
+    pub squares: f64,
+}
+
+impl Ratings {
+    /// Takes in one rating from zero to one.
+    pub fn add(&mut self, rating: f64) {
+        let rating = rating.clamp(0.0, 1.0);
+        if self.count >= RATINGS_KEPT {
+            let keep = (RATINGS_KEPT - 1.0) / self.count;
+            self.count *= keep;
+            self.sum *= keep;
+            self.squares *= keep;
+        }
+        self.count += 1.0;
+        self.sum += rating;
+        self.squares += rating * rating;
+    }
+
+    /// Takes in the ratings of another holder.
+    pub fn merge(&mut self, other: &Self) {
+        self.count += other.count;
+        self.sum += other.sum;
+        self.squares += other.squares;
+    }
+
+    /// Returns mean and standard error with a prior of `prior` thousandths.
+    pub fn estimate(&self, prior: u32) -> Estimate {
+        let prior = f64::from(prior) / FULL;
+        let count = self.count + PRIOR_WEIGHT;
+        let mean = (self.sum + prior * PRIOR_WEIGHT) / count;
+        let spread = self.squares + prior * prior * PRIOR_WEIGHT;
+        let variance = (spread / count - mean * mean).max(mean * (1.0 - mean) / count);
+        Estimate {
+            mean,
+            error: (variance / count).sqrt(),
+        }
+    }
+}
+
+/// Estimate of a version's quality, from zero to one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Expected quality.
+    pub mean: f64,
+    /// Standard error of the expectation.
+    pub error: f64,
+}
+
+/// Ratings by version and kind.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    ratings: BTreeMap<VersionId, BTreeMap<Kind, Ratings>>,
+}
+
+impl Evidence {
+    /// Takes in one rating from zero to one.
+    pub fn add(&mut self, version: &VersionId, kind: &Kind, rating: f64) {
+        let kinds = self.ratings.entry(version.clone()).or_default();
+        kinds.entry(kind.clone()).or_default().add(rating);
+    }
+
+    /// Returns the ratings of `version` for `kind`.
+    pub fn ratings(&self, version: &VersionId, kind: &Kind) -> Ratings {
+        let kinds = self.ratings.get(version);
+        kinds
+            .and_then(|kinds| kinds.get(kind))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Takes in the evidence of another holder.
+    pub fn merge(&mut self, other: &Self) {
+        for (version, kinds) in &other.ratings {
+            for (kind, ratings) in kinds {
+                let own = self.ratings.entry(version.clone()).or_default();
+                own.entry(kind.clone()).or_default().merge(ratings);
+            }
+        }
+    }
+}
+
+/// Version that may answer a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Name of the version.
+    pub id: &'a VersionId,
+    /// What is known of the version.
+    pub version: &'a Version,
+}
+
+/// Orders `candidates` from the one to try first.
+///
+/// First come those whose quality is surely enough for `owed` thousandths, the cheapest in front;
+/// then the rest, the best in front, since a caller is better off with them than with none.
+pub fn rank<'a>(
+    candidates: &[Candidate<'a>],
+    evidence: &Evidence,
+    kind: &Kind,
+    owed: u32,
+) -> Vec<&'a VersionId> {
+    let owed = f64::from(owed) / FULL;
+    let mut scored: Vec<Scored<'a>> = candidates
+        .iter()
+        .map(|candidate| Scored::new(candidate, evidence, kind, owed))
+        .collect();
+    scored.sort_by(Scored::compare);
+    scored.into_iter().map(|s| s.id).collect()
+}
+
+/// Candidate with its scores.
+#[derive(Clone, Copy, Debug)]
+struct Scored<'a> {
+    id: &'a VersionId,
+    cost: u64,
+    mean: f64,
+    enough: bool,
+}
+
+impl<'a> Scored<'a> {
+    fn new(candidate: &Candidate<'a>, evidence: &Evidence, kind: &Kind, owed: f64) -> Self {
+        let ratings = evidence.ratings(candidate.id, kind);
+        let estimate = ratings.estimate(candidate.version.prior);
+        Self {
+            id: candidate.id,
+            cost: candidate.version.cost(USUAL_TOKENS, USUAL_TOKENS),
+            mean: estimate.mean,
+            enough: estimate.mean - CAUTION * estimate.error >= owed,
+        }
+    }
+
+    fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        let by_need = other.enough.cmp(&self.enough);
+        let by_cost = self.cost.cmp(&other.cost);
+        let by_mean = other.mean.total_cmp(&self.mean);
+        if self.enough && other.enough {
+            return by_cost.then(by_mean);
+        }
+        by_need.then(by_mean).then(by_cost)
+    }
+}
--- /dev/null
+++ b/papayatray_core/src/clock.rs
@@ -0,0 +1,71 @@
+//! The one clock type of the project: milliseconds.
+
+use std::fmt;
+use std::ops::Add;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Moment or span in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(u64);
+
+impl Millis {
+    /// Zero milliseconds.
+    pub const ZERO: Self = Self(0);
+    /// The furthest moment that can be told.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Creates a value from a count of milliseconds.
+    pub const fn new(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Creates a value from a count of seconds.
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs * 1_000)
+    }
+
+    /// Returns the count of milliseconds.
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the milliseconds passed since `earlier`, zero where that lies ahead.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the value as the standard library's span.
+    pub const fn to_duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+/// Source of the present moment.
+pub trait Clock: Send + Sync + fmt::Debug {
+    /// Returns a moment that never goes back while the process runs.
+    fn now(&self) -> Millis;
+
+    /// Returns the milliseconds since the Unix epoch, for records that people read.
+    fn wall(&self) -> Millis;
+}
--- /dev/null
+++ b/papayatray_core/src/lease.rs
@@ -0,0 +1,141 @@
+//! Leases of entries on the configuration, and the revision that is in force everywhere.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Millis;
+use crate::id::DataCentre;
+use crate::id::Incarnation;
+use crate::id::Revision;
+use crate::id::VmId;
+
+/// Time for which an entry may go on after it asked for the lease, by the entry's clock.
+pub const LEASE: Millis = Millis::new(2_500);
+/// Longer time that the leader counts, for clocks that run at unlike rates.
+pub const LEASE_HELD: Millis = Millis::new(2_800);
+
+/// What is known of a VM that runs an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryInfo {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Number of the process's start.
+    pub incarnation: Incarnation,
+    /// Data centre that the VM stands in.
+    pub data_centre: DataCentre,
+    /// Address for callers.
+    pub caller_address: String,
+    /// Address for the system's own processes.
+    pub peer_address: String,
+    /// Whether the VM is to be left alone by new callers.
+    pub draining: bool,
+}
+
+/// Lease of one entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct EntryLease {
+    info: EntryInfo,
+    revision: Revision,
+    until: Millis,
+}
+
+/// Leases that a leader has given; kept in memory only, and built anew by the next leader.
+#[derive(Clone, Debug, Default)]
+pub struct LeaseBook {
+    leases: BTreeMap<VmId, EntryLease>,
+    settled: Millis,
+    version: u64,
+}
+
+impl LeaseBook {
+    /// Creates the empty book of a leader whose term began at `now`.
+    ///
+    /// Leases of the leader before may still run; until they have ended, nothing is in force.
+    pub fn new(now: Millis) -> Self {
+        Self {
+            leases: BTreeMap::new(),
+            settled: now + LEASE_HELD,
+            version: now.as_u64(),
+        }
+    }
+
+    /// Gives a lease to the entry `info`, which works by `revision`.
+    pub fn renew(&mut self, info: &EntryInfo, revision: Revision, now: Millis) {
+        let known = self.leases.get(&info.vm).map(|lease| &lease.info);
+        if known != Some(info) {
+            self.version += 1;
+        }
+        let lease = EntryLease {
+            info: info.clone(),
+            revision,
+            until: now + LEASE_HELD,
+        };
+        self.leases.insert(info.vm.clone(), lease);
+    }
+
+    /// Drops leases that have ended.
+    pub fn expire(&mut self, now: Millis) {
+        let before = self.leases.len();
+        self.leases.retain(|_, lease| lease.until >= now);
+        if self.leases.len() != before {
+            self.version += 1;
+        }
+    }
+
+    /// Returns the revision that every entry with a lease works by, at most `committed`.
+    ///
+    /// Nothing is returned while leases of an earlier leader may run.
+    pub fn in_force(&self, committed: Revision, now: Millis) -> Option<Revision> {
+        if now < self.settled {
+            return None;
+        }
+        let live = self.leases.values().filter(|lease| lease.until >= now);
+        let lowest = live.map(|lease| lease.revision).min();
+        Some(lowest.unwrap_or(committed).min(committed))
+    }
+
+    /// Returns the entries that hold a lease, with the revision that each works by.
+    pub fn entries(&self) -> impl Iterator<Item = (&EntryInfo, Revision)> {
+        self.leases
+            .values()
+            .map(|lease| (&lease.info, lease.revision))
+    }
+
+    /// Returns a number that changes whenever the set of entries does.
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+}
+
+/// Lease as the entry itself sees it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HeldLease {
+    revision: Revision,
+    until: Millis,
+}
+
+impl HeldLease {
+    /// Takes an answer to a renewal that was asked for at `asked`.
+    ///
+    /// An answer with an older revision is left aside: a configuration never reverts.
+    pub fn renew(&mut self, revision: Revision, asked: Millis) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.revision = revision;
+        self.until = self.until.max(asked + LEASE);
+        true
+    }
+
+    /// Tells whether new work may start.
+    pub fn is_held(&self, now: Millis) -> bool {
+        now < self.until
+    }
+
+    /// Returns the revision that the entry works by.
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+}
--- /dev/null
+++ b/papayatray_core/src/ledger.rs
@@ -0,0 +1,121 @@
+//! The ledger: one bill for each request.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Millis;
+use crate::id::OrganisationId;
+use crate::id::RequestKey;
+use crate::id::VmId;
+
+/// Time for which single bills are kept; their sums are kept for good.
+pub const LINE_WINDOW: Millis = Millis::from_secs(3_600);
+/// Milliseconds of a day.
+const DAY: u64 = 86_400_000;
+
+/// Bill of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bill {
+    /// Request that is billed.
+    pub key: RequestKey,
+    /// Version or service that answered.
+    pub subject: String,
+    /// Tokens of the prompt.
+    pub tokens_in: u64,
+    /// Tokens of the answer.
+    pub tokens_out: u64,
+    /// Price in millionths of the currency.
+    pub cost: u64,
+    /// Entry that relayed the answer.
+    pub entry: VmId,
+}
+
+/// Sum of bills.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Total {
+    /// Requests billed.
+    pub requests: u64,
+    /// Tokens of the prompts.
+    pub tokens_in: u64,
+    /// Tokens of the answers.
+    pub tokens_out: u64,
+    /// Price in millionths of the currency.
+    pub cost: u64,
+}
+
+impl Total {
+    fn add(&mut self, bill: &Bill) {
+        self.requests += 1;
+        self.tokens_in += bill.tokens_in;
+        self.tokens_out += bill.tokens_out;
+        self.cost += bill.cost;
+    }
+}
+
+/// Account that bills are summed in.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Account {
+    /// Organisation that pays.
+    pub organisation: OrganisationId,
+    /// Day, counted from the Unix epoch.
+    pub day: u64,
+    /// Version or service that answered.
+    pub subject: String,
+}
+
+/// All bills: single ones within the window, sums for good.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    lines: BTreeMap<RequestKey, Bill>,
+    order: VecDeque<(Millis, RequestKey)>,
+    totals: BTreeMap<Account, Total>,
+    by_entry: BTreeMap<VmId, u64>,
+}
+
+impl Ledger {
+    /// Records `bill`; tells whether it is the request's first.
+    pub fn record(&mut self, bill: &Bill, now: Millis) -> bool {
+        self.forget(now);
+        if self.lines.contains_key(&bill.key) {
+            return false;
+        }
+        let account = Account {
+            organisation: bill.key.organisation.clone(),
+            day: now.as_u64() / DAY,
+            subject: bill.subject.clone(),
+        };
+        self.totals.entry(account).or_default().add(bill);
+        *self.by_entry.entry(bill.entry.clone()).or_default() += 1;
+        self.lines.insert(bill.key.clone(), bill.clone());
+        self.order.push_back((now, bill.key.clone()));
+        true
+    }
+
+    /// Returns the sums by account.
+    pub const fn totals(&self) -> &BTreeMap<Account, Total> {
+        &self.totals
+    }
+
+    /// Returns the single bills that are kept.
+    pub fn lines(&self) -> impl Iterator<Item = &Bill> {
+        self.lines.values()
+    }
+
+    /// Returns how many bills each entry has made, to hold against the entry's own count.
+    pub const fn by_entry(&self) -> &BTreeMap<VmId, u64> {
+        &self.by_entry
+    }
+
+    fn forget(&mut self, now: Millis) {
+        while let Some((at, key)) = self.order.front() {
+            if now.since(*at) <= LINE_WINDOW {
+                return;
+            }
+            self.lines.remove(key);
+            self.order.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/papayatray_core/src/retry.rs
@@ -0,0 +1,36 @@
+//! Budget of retries and hedges, as a share of first attempts.
+
+/// Retries that may run ahead of their share.
+const BURST: f64 = 10.0;
+/// Retries earned by each first attempt.
+const SHARE: f64 = 0.1;
+
+/// Budget that first attempts fill and retries draw on.
+///
+/// A fleet under overload so sends at most a tenth more than its callers ask for.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    tokens: f64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { tokens: BURST }
+    }
+}
+
+impl RetryBudget {
+    /// Counts a first attempt.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + SHARE).min(BURST);
+    }
+
+    /// Takes one retry from the budget, if it holds one.
+    pub fn spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/papayatray_standin/src/client.rs
@@ -0,0 +1,185 @@
+//! Caller as an application would be one: plain HTTP over loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_h1::client::connect;
+use displaydoc::Display;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::Url;
+use serde_json::Value;
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::net::TcpStream;
+
+/// Longest wait for a whole answer.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum CallError {
+    /// cannot connect: {0}
+    Connect(String),
+    /// the connection was lost: {0}
+    Lost(String),
+    /// no answer came in time
+    Silent,
+}
+
+impl std::error::Error for CallError {}
+
+/// Answer to a call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Whole body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Returns the header `name`.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self
+            .headers
+            .iter()
+            .find(|(own, _)| own.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the body as JSON, or null.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns the text of a chat, plain or streamed.
+    pub fn text(&self) -> String {
+        let whole = self.json();
+        if let Some(text) = whole["choices"][0]["message"]["content"].as_str() {
+            return text.to_owned();
+        }
+        let body = String::from_utf8_lossy(&self.body).into_owned();
+        let events = body.lines().filter_map(|line| line.strip_prefix("data: "));
+        let chunks = events.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+        let texts = chunks.filter_map(|chunk| {
+            chunk["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_owned)
+        });
+        texts.collect()
+    }
+
+    /// Tells whether a stream came to its end.
+    pub fn is_done(&self) -> bool {
+        self.body.ends_with(b"data: [DONE]\n\n")
+    }
+
+    /// Returns the code of a refusal, at the top or at the end of a stream.
+    pub fn code(&self) -> Option<String> {
+        let body = String::from_utf8_lossy(&self.body).into_owned();
+        let last = body.lines().rev().find(|line| !line.is_empty())?;
+        let last = last.strip_prefix("data: ").unwrap_or(last);
+        let refusal: Value = serde_json::from_str(last).ok()?;
+        refusal["error"]["code"].as_str().map(str::to_owned)
+    }
+}
+
+/// Sends one request on a connection of its own and reads the whole answer.
+///
+/// # Errors
+///
+/// Returns why there is no answer.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Vec<u8>,
+) -> Result<Answer, CallError> {
+    let mut caller = Caller::connect(address).await?;
+    caller.call(method, path, headers, body).await
+}
+
+/// Connection of a caller that is kept open between calls.
+#[derive(Debug)]
+pub struct Caller {
+    address: SocketAddr,
+    stream: TcpStream,
+}
+
+impl Caller {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot be opened.
+    pub async fn connect(address: SocketAddr) -> Result<Self, CallError> {
+        let stream = TcpStream::connect(address).await;
+        let stream = stream.map_err(|error| CallError::Connect(error.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        Ok(Self { address, stream })
+    }
+
+    /// Sends one request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<Answer, CallError> {
+        let calling = async {
+            let mut response = self.open(method, path, headers, body).await?;
+            let read = response.body_bytes().await;
+            let body = read.map_err(|error| CallError::Lost(error.to_string()))?;
+            Ok(Answer {
+                status: response.status().into(),
+                headers: headers_of(&response),
+                body,
+            })
+        };
+        let timeout = async {
+            Timer::after(LIMIT).await;
+            Err(CallError::Silent)
+        };
+        calling.or(timeout).await
+    }
+
+    /// Sends one request and returns the answer with its body still to come.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn open(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<Response, CallError> {
+        let url = Url::parse(&format!("http://{}{path}", self.address));
+        let url = url.map_err(|error| CallError::Connect(error.to_string()))?;
+        let mut request = Request::new(method, url);
+        request.set_body(body);
+        for (name, value) in headers {
+            request.insert_header(*name, *value);
+        }
+        let response = connect(self.stream.clone(), request).await;
+        response.map_err(|error| CallError::Lost(error.to_string()))
+    }
+}
+
+fn headers_of(response: &Response) -> Vec<(String, String)> {
+    let pairs = response.iter();
+    pairs
+        .map(|(name, values)| (name.to_string(), values.as_str().to_owned()))
+        .collect()
+}
--- /dev/null
+++ b/papayatray_standin/src/lib.rs
@@ -0,0 +1,30 @@
+//! Stand-ins for what stands outside the system: model engines and plain services.
+//!
+//! They speak the protocol of `docs/ENDPOINTS.md` over sockets, answer predictably, and fail on
+//! request. Examples, tests and benchmarks share them.
+
+mod announcer;
+mod chat;
+mod client;
+mod engine;
+mod server;
+mod service;
+mod site;
+
+pub use announcer::Announcer;
+pub use announcer::Facts;
+pub use client::Answer;
+pub use client::CallError;
+pub use client::Caller;
+pub use client::call;
+pub use engine::Engine;
+pub use engine::EngineOptions;
+pub use engine::Fault;
+pub use service::PlainService;
+pub use site::OPERATOR_KEY;
+pub use site::PLATFORM_KEY;
+pub use site::Program;
+pub use site::Site;
+pub use site::SiteError;
+pub use site::Vm;
+pub use site::free_address;
--- /dev/null
+++ b/papayatray_standin/src/service.rs
@@ -0,0 +1,104 @@
+//! Stand-in for a plain service.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use serde_json::json;
+use smol::Timer;
+
+use crate::server::Handler;
+use crate::server::Server;
+
+/// Header in which an attempt's number is sent back.
+const ATTEMPT: &str = "papayatray-attempt";
+/// Header with the request's name.
+const REQUEST_ID: &str = "idempotency-key";
+
+/// Service's state, shared with its connections.
+#[derive(Debug, Default)]
+struct Inner {
+    runs: Mutex<BTreeMap<String, u64>>,
+    delay: Duration,
+}
+
+/// Stand-in for a plain service, which counts how often each request was run.
+#[derive(Debug)]
+pub struct PlainService {
+    inner: Arc<Inner>,
+    server: Server,
+}
+
+impl PlainService {
+    /// Starts a service at `address` that takes `delay` for each call.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the address cannot be used.
+    pub async fn start(address: SocketAddr, delay: Duration) -> io::Result<Self> {
+        let inner = Arc::new(Inner {
+            runs: Mutex::default(),
+            delay,
+        });
+        let server = Server::start(address, Arc::clone(&inner)).await?;
+        Ok(Self { inner, server })
+    }
+
+    /// Returns the address.
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Ends the service at once, as a crash would.
+    pub fn crash(&self) {
+        self.server.stop();
+    }
+
+    /// Returns how often each request was run.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        self.inner
+            .runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+impl Handler for Inner {
+    async fn answer(self: Arc<Self>, mut request: Request) -> http_types::Result<Response> {
+        let id = request
+            .header(REQUEST_ID)
+            .map(|v| v.as_str().to_owned())
+            .unwrap_or_default();
+        let body = request.body_string().await?;
+        let count = {
+            let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+            let count = runs.entry(id.clone()).or_default();
+            *count += 1;
+            *count
+        };
+        Timer::after(self.delay).await;
+        let answer = json!({
+            "method": request.method().to_string(),
+            "path": request.url().path(),
+            "request": id,
+            "run": count,
+            "body": body,
+        });
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(answer.to_string());
+        response.insert_header("content-type", "application/json");
+        if let Some(attempt) = request.header(ATTEMPT) {
+            let attempt = attempt.as_str().to_owned();
+            response.insert_header(ATTEMPT, attempt);
+        }
+        Ok(response)
+    }
+}
--- /dev/null
+++ b/papayatray_standin/src/site.rs
@@ -0,0 +1,286 @@
+//! Site on loopback: settings written, daemons started as processes of their own and ended.
+
+use std::fmt::Write;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use displaydoc::Display;
+use http_types::Method;
+
+use crate::client::call;
+
+/// Key of the site's operator.
+pub const OPERATOR_KEY: &str = "operator-key-of-a-site-on-loopback";
+/// Key of the site's platform.
+pub const PLATFORM_KEY: &str = "platform-key-of-a-site-on-loopback";
+/// Secret of the site.
+const SECRET: &str = "secret of a site on loopback";
+/// Control replicas of a site.
+const REPLICAS: usize = 3;
+/// Pause between two looks at something awaited.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Why a site cannot be used.
+#[derive(Debug, Display)]
+pub enum SiteError {
+    /// {0}: {1}
+    Io(String, io::Error),
+    /// not ready in time: {0}
+    Slow(String),
+}
+
+impl std::error::Error for SiteError {}
+
+/// Program that runs a daemon: its path and the arguments before the settings file.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// Path of the program.
+    pub path: PathBuf,
+    /// Arguments before the settings file.
+    pub arguments: Vec<String>,
+}
+
+/// VM of a site.
+#[derive(Debug)]
+pub struct Vm {
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Address for the system's own processes.
+    pub peer: SocketAddr,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Whether the VM has a disk and plays the role control.
+    pub is_control: bool,
+    child: Option<Child>,
+}
+
+/// Site on loopback.
+#[derive(Debug)]
+pub struct Site {
+    folder: PathBuf,
+    program: Program,
+    vms: Vec<Vm>,
+    extra: String,
+}
+
+/// Returns a free address on loopback.
+///
+/// # Errors
+///
+/// Returns what the system said.
+pub fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?.local_addr()
+}
+
+impl Site {
+    /// Lays out a site of `count` VMs, the first three of them control replicas, over
+    /// `data_centres`; nothing is started yet. `extra` is added to the table `[entry]`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system said.
+    pub fn new(
+        program: Program,
+        name: &str,
+        count: usize,
+        data_centres: &[&str],
+        extra: &str,
+    ) -> Result<Self, SiteError> {
+        let folder = std::env::temp_dir().join(format!("papayatray-{name}-{}", std::process::id()));
+        let failed = |error| SiteError::Io(name.to_owned(), error);
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(&folder).map_err(failed)?;
+        let mut vms = Vec::new();
+        for number in 0..count {
+            vms.push(Vm {
+                name: format!("vm-{}", number + 1),
+                data_centre: data_centres[number % data_centres.len()].to_owned(),
+                peer: free_address().map_err(failed)?,
+                caller: free_address().map_err(failed)?,
+                is_control: number < REPLICAS,
+                child: None,
+            });
+        }
+        Ok(Self {
+            folder,
+            program,
+            vms,
+            extra: extra.to_owned(),
+        })
+    }
+
+    /// Returns the VMs.
+    pub fn vms(&self) -> &[Vm] {
+        &self.vms
+    }
+
+    /// Returns the addresses for callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(|vm| vm.caller).collect()
+    }
+
+    /// Returns the data folder of a VM.
+    pub fn data_folder(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("data-{}", self.vms[number].name))
+    }
+
+    /// Returns the file that a VM logs to.
+    pub fn log_file(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("{}.log", self.vms[number].name))
+    }
+
+    /// Returns the process number of a VM's daemon, while it runs.
+    pub fn process(&self, number: usize) -> Option<u32> {
+        self.vms[number].child.as_ref().map(Child::id)
+    }
+
+    /// Adds a VM to the layout, which is not started yet; returns its number.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system said.
+    pub fn add_vm(&mut self, data_centre: &str, is_control: bool) -> Result<usize, SiteError> {
+        let failed = |error| SiteError::Io("address".to_owned(), error);
+        let number = self.vms.len();
+        self.vms.push(Vm {
+            name: format!("vm-{}", number + 1),
+            data_centre: data_centre.to_owned(),
+            peer: free_address().map_err(failed)?,
+            caller: free_address().map_err(failed)?,
+            is_control,
+            child: None,
+        });
+        Ok(number)
+    }
+
+    /// Starts the daemon of a VM with the state it has.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system said.
+    pub fn start(&mut self, number: usize) -> Result<(), SiteError> {
+        let settings = self.settings(number);
+        let path = self.folder.join(format!("{}.toml", self.vms[number].name));
+        let failed = |error| SiteError::Io(path.display().to_string(), error);
+        fs::create_dir_all(self.data_folder(number)).map_err(failed)?;
+        fs::write(&path, settings).map_err(failed)?;
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_file(number))
+            .map_err(failed)?;
+        let child = Command::new(&self.program.path)
+            .args(&self.program.arguments)
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::from(log))
+            .spawn()
+            .map_err(failed)?;
+        self.vms[number].child = Some(child);
+        Ok(())
+    }
+
+    /// Starts all VMs.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system said.
+    pub fn start_all(&mut self) -> Result<(), SiteError> {
+        (0..self.vms.len()).try_for_each(|number| self.start(number))
+    }
+
+    /// Kills the daemon of a VM, as a power cut would.
+    pub fn kill(&mut self, number: usize) {
+        if let Some(mut child) = self.vms[number].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until the daemon of a VM has ended by itself; tells whether it did well and in time.
+    pub async fn wait_ended(&mut self, number: usize, limit: Duration) -> bool {
+        let begin = Instant::now();
+        let Some(mut child) = self.vms[number].child.take() else {
+            return true;
+        };
+        while begin.elapsed() < limit {
+            if let Ok(Some(status)) = child.try_wait() {
+                return status.success();
+            }
+            smol::Timer::after(PAUSE).await;
+        }
+        self.vms[number].child = Some(child);
+        false
+    }
+
+    /// Waits until the entries of the VMs in `numbers` take requests.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one does not in time.
+    pub async fn wait_ready(&self, numbers: &[usize], limit: Duration) -> Result<(), SiteError> {
+        let begin = Instant::now();
+        for number in numbers {
+            let vm = &self.vms[*number];
+            loop {
+                let answer = call(vm.caller, Method::Get, "/readyz", &[], Vec::new()).await;
+                if answer.is_ok_and(|answer| answer.status == 200) {
+                    break;
+                }
+                if begin.elapsed() > limit {
+                    return Err(SiteError::Slow(vm.name.clone()));
+                }
+                smol::Timer::after(PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn settings(&self, number: usize) -> String {
+        let vm = &self.vms[number];
+        let hash = |key: &str| blake3::hash(key.as_bytes()).to_hex();
+        let mut text = format!(
+            "vm = \"{}\"\ndata_centre = \"{}\"\npeer_address = \"{}\"\ncluster_secret = \"{SECRET}\"\n",
+            vm.name, vm.data_centre, vm.peer
+        );
+        text.push_str("\n[replicas]\n");
+        for replica in &self.vms[..REPLICAS] {
+            // Writing into a text cannot fail.
+            let _ = writeln!(text, "{} = \"{}\"", replica.name, replica.peer);
+        }
+        let _ = writeln!(
+            text,
+            "\n[entry]\ncaller_address = \"{}\"\n{}",
+            vm.caller, self.extra
+        );
+        if vm.is_control {
+            let folder = self.data_folder(number);
+            let _ = writeln!(text, "[control]\ndata_folder = \"{}\"", folder.display());
+        }
+        let _ = writeln!(text, "\n[operators]\noperator = \"{}\"", hash(OPERATOR_KEY));
+        let _ = writeln!(text, "\n[platform]\nplatform = \"{}\"", hash(PLATFORM_KEY));
+        text
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for number in 0..self.vms.len() {
+            self.kill(number);
+        }
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- /dev/null
+++ b/papayatray_state/src/machine.rs
@@ -0,0 +1,210 @@
+//! The machine that committed commands drive.
+
+use papayatray_core::catalogue::Catalogue;
+use papayatray_core::catalogue::Change;
+use papayatray_core::catalogue::ChangeBook;
+use papayatray_core::catalogue::Outcome;
+use papayatray_core::claim::ClaimAnswer;
+use papayatray_core::claim::ClaimWish;
+use papayatray_core::claim::Claims;
+use papayatray_core::claim::KeptAnswer;
+use papayatray_core::clock::Millis;
+use papayatray_core::exposure::Exposures;
+use papayatray_core::id::Fingerprint;
+use papayatray_core::id::RequestKey;
+use papayatray_core::id::VersionId;
+use papayatray_core::id::VmId;
+use papayatray_core::ledger::Bill;
+use papayatray_core::ledger::Ledger;
+use papayatray_core::suspicion::Life;
+use papayatray_core::suspicion::Suspicion;
+use papayatray_core::suspicion::TrialAnswer;
+use papayatray_core::suspicion::TrialWish;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Command to the machine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Changes the configuration.
+    Configure(Change),
+    /// Asks to run a request that may run at most once.
+    Claim(ClaimWish),
+    /// Records answer and bill of a claimed request.
+    Finish {
+        /// The answer.
+        answer: KeptAnswer,
+        /// The bill.
+        bill: Bill,
+    },
+    /// Gives back a claim whose request was certainly never sent.
+    Release {
+        /// Request of the claim.
+        key: RequestKey,
+        /// Entry that held it.
+        entry: VmId,
+    },
+    /// Records bills.
+    Bill(Vec<Bill>),
+    /// Asks for exposures of a version in roll-out.
+    Expose {
+        /// The version.
+        version: VersionId,
+        /// Most exposures that are wanted.
+        want: u32,
+    },
+    /// Records that an endpoint crashed while it ran these requests.
+    Report {
+        /// Start of the endpoint that ended in the crash.
+        life: Life,
+        /// Requests that were in flight.
+        fingerprints: Vec<Fingerprint>,
+    },
+    /// Asks to run a suspect.
+    BeginTrial(TrialWish),
+    /// Records that a suspect ran without a crash.
+    Acquit {
+        /// The suspect.
+        fingerprint: Fingerprint,
+        /// Entry that ran it.
+        entry: VmId,
+    },
+    /// Records that a suspect never reached an endpoint.
+    GiveBack {
+        /// The suspect.
+        fingerprint: Fingerprint,
+        /// Entry that was to run it.
+        entry: VmId,
+    },
+}
+
+/// Command with the moment at which its leader took it in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamped {
+    /// Moment in milliseconds since the Unix epoch.
+    pub at: Millis,
+    /// The command.
+    pub command: Command,
+}
+
+/// Answer to a command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// What became of a change.
+    Configured(Outcome),
+    /// Whether the request may run.
+    Claim(ClaimAnswer),
+    /// How many of the bills were their requests' first.
+    Billed(u32),
+    /// How many exposures were granted.
+    Exposed(u32),
+    /// Whether the suspect may run.
+    Trial(TrialAnswer),
+    /// Nothing more to tell.
+    Done,
+}
+
+/// All state that survives.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Machine {
+    book: ChangeBook,
+    claims: Claims,
+    ledger: Ledger,
+    exposures: Exposures,
+    suspicion: Suspicion,
+    clock: Millis,
+}
+
+impl Machine {
+    /// Returns the machine that a snapshot's state holds; empty state makes a new machine.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the bytes.
+    pub fn from_state(state: &[u8]) -> Result<Self, postcard::Error> {
+        if state.is_empty() {
+            return Ok(Self::default());
+        }
+        postcard::from_bytes(state)
+    }
+
+    /// Returns the machine's state for a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the state cannot be encoded.
+    pub fn to_state(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Applies a command; the machine's time never goes back.
+    pub fn apply(&mut self, stamped: &Stamped) -> Reply {
+        self.clock = self.clock.max(stamped.at);
+        let now = self.clock;
+        match &stamped.command {
+            Command::Configure(change) => Reply::Configured(self.book.decide(change, now)),
+            Command::Claim(wish) => Reply::Claim(self.claims.claim(wish, now)),
+            Command::Finish { answer, bill } => {
+                self.claims.finish(&bill.key, answer.clone());
+                Reply::Billed(u32::from(self.ledger.record(bill, now)))
+            }
+            Command::Release { key, entry } => {
+                self.claims.release(key, entry);
+                Reply::Done
+            }
+            Command::Bill(bills) => {
+                let firsts = bills.iter().filter(|bill| self.ledger.record(bill, now));
+                Reply::Billed(u32::try_from(firsts.count()).unwrap_or(u32::MAX))
+            }
+            Command::Expose { version, want } => Reply::Exposed(self.expose(version, *want)),
+            Command::Report { life, fingerprints } => {
+                self.suspicion.report(life, fingerprints, now);
+                Reply::Done
+            }
+            Command::BeginTrial(wish) => Reply::Trial(self.suspicion.begin(wish, now)),
+            Command::Acquit { fingerprint, entry } => {
+                self.suspicion.acquit(*fingerprint, entry);
+                Reply::Done
+            }
+            Command::GiveBack { fingerprint, entry } => {
+                self.suspicion.give_back(*fingerprint, entry);
+                Reply::Done
+            }
+        }
+    }
+
+    fn expose(&mut self, version: &VersionId, want: u32) -> u32 {
+        let known = self.book.catalogue().versions.get(version);
+        known.map_or(0, |own| self.exposures.grant(version, &own.stage, want))
+    }
+
+    /// Returns the configuration that stands.
+    pub const fn catalogue(&self) -> &Catalogue {
+        self.book.catalogue()
+    }
+
+    /// Returns the changes with their history.
+    pub const fn book(&self) -> &ChangeBook {
+        &self.book
+    }
+
+    /// Returns the claims.
+    pub const fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// Returns the ledger.
+    pub const fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Returns the exposures granted.
+    pub const fn exposures(&self) -> &Exposures {
+        &self.exposures
+    }
+
+    /// Returns the requests under suspicion.
+    pub const fn suspicion(&self) -> &Suspicion {
+        &self.suspicion
+    }
+}
--- /dev/null
+++ b/papayatray_wire/src/link/mod.rs
@@ -0,0 +1,14 @@
+//! Authenticated links between the system's own processes.
+
+mod error;
+mod frame;
+mod handshake;
+mod key;
+
+pub use error::LinkError;
+pub use frame::Frame;
+pub use frame::Receiver;
+pub use frame::Sender;
+pub use handshake::accept;
+pub use handshake::connect;
+pub use key::ClusterKey;
--- /dev/null
+++ b/papayatrayd/src/control/bookkeeping.rs
@@ -0,0 +1,130 @@
+//! What the control thread tells operators, and the replacement of replicas.
+
+use papayatray_state::replica::ReplicaId;
+use papayatray_wire::peer::Bills;
+use papayatray_wire::peer::BillsRequest;
+use papayatray_wire::peer::EntryReport;
+use papayatray_wire::peer::History;
+use papayatray_wire::peer::HistoryRequest;
+use papayatray_wire::peer::Led;
+use papayatray_wire::peer::Replace;
+use papayatray_wire::peer::Replaced;
+use papayatray_wire::peer::ReplicaReport;
+use papayatray_wire::peer::Status;
+
+use super::keeper::Keeper;
+use crate::observe::Level;
+use crate::observe::event;
+
+impl Keeper {
+    /// Answers a question if this replica leads beyond doubt.
+    pub(super) fn led<F, T>(&mut self, question: F) -> Led<T>
+    where
+        F: FnOnce(&mut Self) -> T,
+    {
+        if self.node.replica().is_current(self.now()) {
+            Led::Answer(question(self))
+        } else {
+            Led::NotLeader(self.leader())
+        }
+    }
+
+    pub(super) fn status(&self) -> Status {
+        let replica = self.node.replica();
+        let catalogue = self.node.machine().catalogue();
+        let now = self.now();
+        let is_current = replica.is_current(now);
+        let lead = self.lead.as_ref().filter(|_| is_current);
+        let members = replica.members().iter();
+        Status {
+            vm: replica.id().vm.clone(),
+            role: format!("{:?}", replica.role()).to_lowercase(),
+            boot: replica.boot().as_str().to_owned(),
+            term: replica.term().0,
+            leader: self.leader(),
+            commit: replica.commit(),
+            failed: self.node.store().is_failed(),
+            revision: catalogue.revision,
+            in_force: lead.and_then(|lead| lead.leases.in_force(catalogue.revision, now)),
+            replicas: members
+                .map(|(id, member)| ReplicaReport {
+                    id: id.to_string(),
+                    voter: member.voter,
+                    address: member.address.clone(),
+                })
+                .collect(),
+            blanks: replica.boot().blanks().map(ToString::to_string).collect(),
+            entries: lead.map_or_else(Vec::new, |lead| self.entries(lead)),
+        }
+    }
+
+    fn entries(&self, lead: &super::lead::Lead) -> Vec<EntryReport> {
+        let recorded = self.node.machine().ledger().by_entry();
+        let report = |(info, revision): (&papayatray_core::lease::EntryInfo, _)| EntryReport {
+            info: info.clone(),
+            revision,
+            billed: lead.billed(&info.vm),
+            recorded: recorded.get(&info.vm).copied().unwrap_or(0),
+        };
+        lead.leases.entries().map(report).collect()
+    }
+
+    pub(super) fn bills(&self, request: &BillsRequest) -> Bills {
+        let ledger = self.node.machine().ledger();
+        let is_wanted = |id| request.organisation.as_ref().is_none_or(|own| own == id);
+        let totals = ledger
+            .totals()
+            .iter()
+            .filter(|(a, _)| is_wanted(&a.organisation));
+        let lines = ledger
+            .lines()
+            .filter(|bill| request.lines && is_wanted(&bill.key.organisation));
+        Bills {
+            totals: totals
+                .map(|(account, total)| (account.clone(), *total))
+                .collect(),
+            lines: lines.cloned().collect(),
+        }
+    }
+
+    pub(super) fn history(&self, request: HistoryRequest) -> History {
+        let history = self.node.machine().book().history();
+        let later = history
+            .iter()
+            .filter(|change| change.revision > request.after);
+        History {
+            changes: later.cloned().collect(),
+        }
+    }
+
+    pub(super) fn replace(&mut self, request: &Replace) -> Replaced {
+        let replica = self.node.replica();
+        let lost: Option<ReplicaId> = replica
+            .members()
+            .iter()
+            .map(|(id, _)| id)
+            .find(|id| id.vm == request.lost)
+            .cloned();
+        let newcomer: Option<ReplicaId> = replica
+            .boot()
+            .blanks()
+            .find(|id| id.vm == request.newcomer)
+            .cloned();
+        let Some(lost) = lost else {
+            return Replaced::Refused(format!("{} is no control replica", request.lost));
+        };
+        let Some(newcomer) = newcomer else {
+            let wanted = "start papayatrayd there with role control and an empty data folder";
+            return Replaced::Refused(format!("{} has not called: {wanted}", request.newcomer));
+        };
+        if self.node.replica_mut().admit(&newcomer, Some(&lost)) {
+            event(
+                Level::Info,
+                "replica_replaced",
+                &[("lost", &lost), ("newcomer", &newcomer)],
+            );
+            return Replaced::Begun;
+        }
+        Replaced::Refused("another change of replicas is under way; try again shortly".to_owned())
+    }
+}
--- /dev/null
+++ b/papayatrayd/src/control/keeper.rs
@@ -0,0 +1,250 @@
+//! Keeper: the control thread's state and its loop.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+
+use papayatray_core::clock::Clock;
+use papayatray_core::clock::Millis;
+use papayatray_core::id::VmId;
+use papayatray_state::machine::Reply;
+use papayatray_state::node::Node;
+use papayatray_state::node::Refusal;
+use papayatray_state::node::Token;
+use papayatray_state::node::Turn;
+use papayatray_state::replica::ReplicaId;
+use papayatray_state::replica::Role;
+use papayatray_state::storage::FolderDisk;
+use papayatray_wire::peer::Led;
+use papayatray_wire::peer::RENEW_HOLD;
+use papayatray_wire::peer::Renew;
+use papayatray_wire::peer::Renewed;
+use smol::channel::Sender;
+
+use super::handle::Input;
+use super::lead::Lead;
+use crate::observe::Level;
+use crate::observe::Metrics;
+use crate::observe::event;
+use crate::peer::Peers;
+
+/// Time between two ticks of an idle replica.
+const TICK: Millis = Millis::new(20);
+/// Inputs taken into one turn, which share one sync.
+const TURN_INPUTS: usize = 512;
+
+/// Renewal whose answer is held back.
+#[derive(Debug)]
+struct Held {
+    renew: Box<Renew>,
+    reply: Sender<Led<Renewed>>,
+    since: Millis,
+}
+
+/// State of the control thread.
+#[derive(Debug)]
+pub struct Keeper {
+    pub(super) node: Node<FolderDisk>,
+    pub(super) lead: Option<Lead>,
+    peers: Arc<Peers>,
+    clock: Arc<dyn Clock>,
+    metrics: Arc<Metrics>,
+    waiting: BTreeMap<Token, Sender<Result<Reply, Refusal>>>,
+    held: Vec<Held>,
+    next_token: Token,
+    role: Role,
+    boot: &'static str,
+    failed: bool,
+}
+
+impl Keeper {
+    pub(super) fn new(
+        node: Node<FolderDisk>,
+        peers: Arc<Peers>,
+        clock: Arc<dyn Clock>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            boot: node.replica().boot().as_str(),
+            node,
+            lead: None,
+            peers,
+            clock,
+            metrics,
+            waiting: BTreeMap::new(),
+            held: Vec::new(),
+            next_token: 0,
+            role: Role::Follower,
+            failed: false,
+        }
+    }
+
+    /// Takes inputs and turns until the last handle is gone.
+    pub(super) fn run(mut self, inputs: &Receiver<Input>) {
+        loop {
+            match inputs.recv_timeout(TICK.to_duration()) {
+                Ok(first) => self.take(first),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            for input in inputs.try_iter().take(TURN_INPUTS) {
+                self.take(input);
+            }
+            let turn = self.node.turn(self.clock.now());
+            self.finish(turn);
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = self.clock.now();
+        match input {
+            Input::Receive(envelope) => self.node.receive(now, *envelope),
+            Input::Propose(command, reply) => {
+                self.next_token += 1;
+                self.waiting.insert(self.next_token, reply);
+                self.node
+                    .propose(self.next_token, command, self.clock.wall());
+            }
+            Input::Renew(renew, reply) => self.take_renew(renew, reply, now),
+            Input::Job(job) => job(self),
+        }
+    }
+
+    fn take_renew(&mut self, renew: Box<Renew>, reply: Sender<Led<Renewed>>, now: Millis) {
+        if !self.node.replica().is_current(now) {
+            let _ = reply.try_send(Led::NotLeader(self.leader()));
+            return;
+        }
+        if let Some(lead) = &mut self.lead {
+            lead.renew(&renew, now);
+        }
+        self.held.push(Held {
+            renew,
+            reply,
+            since: now,
+        });
+    }
+
+    fn finish(&mut self, turn: Turn) {
+        let now = self.clock.now();
+        for envelope in turn.messages {
+            if let Some(address) = self.address_of(&envelope.to) {
+                self.peers.send(&address, envelope);
+            }
+        }
+        for (token, result) in turn.replies {
+            if let Some(reply) = self.waiting.remove(&token) {
+                let _ = reply.try_send(result);
+            }
+        }
+        self.watch_role(now);
+        self.tend_lead(now);
+        self.answer_held(now);
+    }
+
+    fn address_of(&self, id: &ReplicaId) -> Option<String> {
+        let member = self.node.replica().members().get(id);
+        let own = member.map(|member| member.address.clone());
+        own.or_else(|| self.node.founder_address(&id.vm).map(str::to_owned))
+    }
+
+    fn watch_role(&mut self, now: Millis) {
+        let replica = self.node.replica();
+        let (role, boot) = (replica.role(), replica.boot().as_str());
+        let term = replica.term();
+        if role != self.role {
+            event(
+                Level::Info,
+                "role",
+                &[("role", &format!("{role:?}")), ("term", &term)],
+            );
+            self.role = role;
+        }
+        if boot != self.boot {
+            let level = if replica.boot().is_stale() {
+                Level::Error
+            } else {
+                Level::Info
+            };
+            event(
+                level,
+                "boot",
+                &[("stage", &boot), ("replica", replica.id())],
+            );
+            self.boot = boot;
+        }
+        if self.node.store().is_failed() && !self.failed {
+            self.failed = true;
+            event(
+                Level::Error,
+                "disk_failed",
+                &[("replica", self.node.replica().id())],
+            );
+        }
+        let is_new = self.lead.as_ref().is_none_or(|lead| lead.term() != term);
+        match (role == Role::Leader, is_new) {
+            (true, true) => self.lead = Some(Lead::new(term, now)),
+            (false, _) => self.lead = None,
+            (true, false) => {}
+        }
+    }
+
+    /// Lets the leader look at its leases and its evidence.
+    fn tend_lead(&mut self, now: Millis) {
+        if !self.node.replica().is_current(now) {
+            return;
+        }
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let change = lead.tend(self.node.machine(), now);
+        self.metrics
+            .gauge("control.commit", self.node.replica().commit());
+        if let Some(change) = change {
+            event(
+                Level::Warn,
+                "version_halted",
+                &[("change", &change.id), ("why", &change.why)],
+            );
+            let command = papayatray_state::machine::Command::Configure(change);
+            self.next_token += 1;
+            self.node
+                .propose(self.next_token, command, self.clock.wall());
+        }
+    }
+
+    /// Answers renewals for which something is new, or which were held long enough.
+    fn answer_held(&mut self, now: Millis) {
+        if self.held.is_empty() {
+            return;
+        }
+        let is_current = self.node.replica().is_current(now);
+        for held in std::mem::take(&mut self.held) {
+            let Some(lead) = self.lead.as_ref().filter(|_| is_current) else {
+                let _ = held.reply.try_send(Led::NotLeader(self.leader()));
+                continue;
+            };
+            let answer = lead.answer(&held.renew, &self.node, now);
+            let is_new = answer.seen != held.renew.seen;
+            if is_new || now.since(held.since) >= RENEW_HOLD {
+                let _ = held.reply.try_send(Led::Answer(answer));
+            } else {
+                self.held.push(held);
+            }
+        }
+    }
+
+    pub(super) fn leader(&self) -> Option<VmId> {
+        self.node.replica().leader().map(|id| id.vm.clone())
+    }
+
+    pub(super) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub(super) fn hand_over(&mut self) {
+        let now = self.clock.now();
+        self.node.replica_mut().hand_over(now);
+    }
+}
--- /dev/null
+++ b/papayatrayd/src/control/mod.rs
@@ -0,0 +1,11 @@
+//! Role control: a replica of the log on a thread of its own, and what its leader decides.
+
+mod bookkeeping;
+mod handle;
+mod keeper;
+mod lead;
+
+pub use handle::Control;
+pub use handle::ControlError;
+pub use handle::Start;
+pub use handle::start;
--- /dev/null
+++ b/papayatrayd/src/engine/mod.rs
@@ -0,0 +1,14 @@
+//! Endpoints as the entry talks to them: connections, answers and streams.
+
+mod connections;
+mod exchange;
+mod source;
+
+pub use connections::Connections;
+pub use exchange::Exchange;
+pub use exchange::SendError;
+pub use exchange::Sent;
+pub use exchange::send;
+pub use source::Event;
+pub use source::Source;
+pub use source::SourceError;
--- /dev/null
+++ b/papayatrayd/src/entry/mod.rs
@@ -0,0 +1,27 @@
+//! Role entry: what one entry knows and the tasks that keep it current.
+
+mod billing;
+mod core;
+mod exposure;
+mod flight;
+mod leader;
+mod news;
+mod renewal;
+mod roster;
+mod view;
+
+pub use self::billing::Billing;
+pub use self::core::Entry;
+pub use self::core::Start;
+pub use self::core::Stop;
+pub use self::flight::Flight;
+pub use self::flight::FlightError;
+pub use self::flight::Flights;
+pub use self::leader::Leader;
+pub use self::leader::LeaderError;
+pub use self::roster::Permit;
+pub use self::roster::PoolSlot;
+pub use self::roster::Roster;
+pub use self::roster::Target;
+pub use self::roster::Use;
+pub use self::view::View;
--- /dev/null
+++ b/papayatrayd/src/http/access.rs
@@ -0,0 +1,43 @@
+//! Who sends a request, by its bearer key.
+
+use http_types::Request;
+use papayatray_core::id::KeyHash;
+use papayatray_core::id::OperatorId;
+
+use super::header_of;
+use crate::entry::Entry;
+
+/// Returns the bearer key of a request.
+pub fn bearer(request: &Request) -> Option<&str> {
+    let value = header_of(request, "authorization")?;
+    let (scheme, key) = value.split_once(' ')?;
+    let key = key.trim();
+    (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
+}
+
+/// Returns the digest of a bearer key.
+pub fn hash_key(key: &str) -> KeyHash {
+    KeyHash::new(blake3::hash(key.as_bytes()).to_hex().as_str())
+}
+
+/// Returns the operator that sends a request; digests are compared in constant time.
+pub fn operator(entry: &Entry, request: &Request) -> Option<OperatorId> {
+    let hash = blake3::hash(bearer(request)?.as_bytes());
+    let operators = &entry.daemon.file.operators;
+    let found = operators.iter().find(|(_, own)| *own.hash() == hash);
+    found.map(|(id, _)| id.clone())
+}
+
+/// Tells whether a part of the platform sends a request.
+pub fn platform(entry: &Entry, request: &Request) -> bool {
+    let Some(key) = bearer(request) else {
+        return false;
+    };
+    let hash = blake3::hash(key.as_bytes());
+    entry
+        .daemon
+        .file
+        .platform
+        .values()
+        .any(|own| *own.hash() == hash)
+}
--- /dev/null
+++ b/papayatrayd/src/http/reply.rs
@@ -0,0 +1,121 @@
+//! Replies and refusals.
+
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use papayatray_core::clock::Millis;
+use papayatray_wire::http::ErrorBody;
+use papayatray_wire::http::ErrorCode;
+use papayatray_wire::http::ErrorReply;
+use serde::Serialize;
+
+/// Media type of JSON.
+const JSON: &str = "application/json";
+
+/// Returns the header `name` of a request.
+pub fn header_of<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request.header(name).map(|values| values.last().as_str())
+}
+
+/// Returns a reply with a JSON body.
+pub fn json<T>(status: u16, body: &T) -> Response
+where
+    T: Serialize,
+{
+    let status = StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError);
+    let mut response = Response::new(status);
+    // The project's own types always have a JSON form.
+    response.set_body(serde_json::to_vec(body).unwrap_or_default());
+    response.insert_header("content-type", JSON);
+    response
+}
+
+/// Refusal of a request, which certainly was not run unless said otherwise.
+#[derive(Clone, Debug)]
+pub struct Refused {
+    body: Box<ErrorBody>,
+    closing: bool,
+}
+
+impl Refused {
+    /// Creates a refusal of a request that was not run.
+    pub fn new<S>(code: ErrorCode, message: S) -> Self
+    where
+        S: Into<String>,
+    {
+        let body = ErrorBody {
+            code,
+            message: message.into(),
+            not_run: true,
+            retry: false,
+            retry_after_ms: None,
+            addresses: Vec::new(),
+            request: None,
+        };
+        Self {
+            body: Box::new(body),
+            closing: false,
+        }
+    }
+
+    /// Says that the request may have run.
+    #[must_use]
+    pub fn perhaps_run(mut self) -> Self {
+        self.body.not_run = false;
+        self
+    }
+
+    /// Says that the request may be sent again after `wait`.
+    #[must_use]
+    pub fn retry_after(mut self, wait: Millis) -> Self {
+        self.body.retry = true;
+        self.body.retry_after_ms = Some(wait.as_u64());
+        self
+    }
+
+    /// Says which other addresses may serve the request.
+    #[must_use]
+    pub fn elsewhere(mut self, addresses: Vec<String>) -> Self {
+        self.body.addresses = addresses;
+        self
+    }
+
+    /// Names the request.
+    #[must_use]
+    pub fn about(mut self, request: &str) -> Self {
+        self.body.request = Some(request.to_owned());
+        self
+    }
+
+    /// Ends the connection after the reply.
+    #[must_use]
+    pub const fn closing(mut self) -> Self {
+        self.closing = true;
+        self
+    }
+
+    /// Returns the code.
+    pub const fn code(&self) -> ErrorCode {
+        self.body.code
+    }
+
+    /// Returns the body.
+    pub fn to_reply(&self) -> ErrorReply {
+        ErrorReply {
+            error: ErrorBody::clone(&self.body),
+        }
+    }
+}
+
+impl From<Refused> for Response {
+    fn from(refused: Refused) -> Self {
+        let mut response = json(refused.code().status(), &refused.to_reply());
+        if let Some(wait) = refused.body.retry_after_ms {
+            response.insert_header("retry-after", wait.div_ceil(1_000).to_string());
+        }
+        if refused.closing {
+            response.insert_header("connection", "close");
+        }
+        response
+    }
+}
--- /dev/null
+++ b/papayatrayd/src/observe/mod.rs
@@ -0,0 +1,15 @@
+//! What an operator can see of a running process: logs, metrics, traces, and its clock.
+
+mod clock;
+mod log;
+mod metrics;
+mod trace;
+
+pub use clock::SystemClock;
+pub use log::Level;
+pub use log::event;
+pub use log::set_up_log;
+pub use metrics::Metrics;
+pub use trace::Traces;
+pub use trace::begin_trace;
+pub use trace::set_up_traces;
--- /dev/null
+++ b/src/command/edit.rs
@@ -0,0 +1,177 @@
+//! Edits that the changing commands stand for.
+
+use std::collections::BTreeSet;
+use std::str::FromStr;
+
+use papayatray_core::catalogue::Catalogue;
+use papayatray_core::catalogue::Class;
+use papayatray_core::catalogue::Edit;
+use papayatray_core::catalogue::Rule;
+use papayatray_core::catalogue::Service;
+use papayatray_core::id::KeyHash;
+use papayatray_core::id::NameError;
+
+use super::CommandError;
+use crate::flags::Default as DefaultFlags;
+use crate::flags::Exception as ExceptionFlags;
+use crate::flags::Org;
+use crate::flags::OrgCmd;
+use crate::flags::Service as ServiceFlags;
+use crate::flags::Version;
+use crate::flags::VersionCmd;
+use crate::plan::parse_grants;
+
+/// Price where none is named.
+const NO_PRICE: u32 = 0;
+/// Quality expected of a version where none is named, in thousandths.
+const USUAL_PRIOR: u32 = 700;
+
+/// Reads a name.
+pub(super) fn name<T>(text: &str) -> Result<T, CommandError>
+where
+    T: FromStr<Err = NameError>,
+{
+    text.parse()
+        .map_err(|error| CommandError::Name(text.to_owned(), error))
+}
+
+fn class(text: &str) -> Result<Class, CommandError> {
+    match text {
+        "paying" => Ok(Class::Paying),
+        "trial" => Ok(Class::Trial),
+        _ => Err(CommandError::Use(format!(
+            "class {text}: wanted is paying or trial"
+        ))),
+    }
+}
+
+/// Returns the edit of an organisation's command.
+pub(super) fn of_org(org: &Org, key: Option<KeyHash>) -> Result<Edit, CommandError> {
+    let edit = match &org.subcommand {
+        OrgCmd::Create(create) => Edit::CreateOrganisation {
+            organisation: name(&create.name)?,
+            class: class(create.class.as_deref().unwrap_or("paying"))?,
+        },
+        OrgCmd::AddKey(flags) => Edit::AddKey {
+            organisation: name(&flags.name)?,
+            label: flags.label.clone(),
+            hash: key.ok_or_else(|| CommandError::Use("no key was made".to_owned()))?,
+        },
+        OrgCmd::DropKey(flags) => Edit::RemoveKey {
+            organisation: name(&flags.name)?,
+            label: flags.label.clone(),
+        },
+        OrgCmd::Allow(flags) => Edit::SetGrants {
+            organisation: name(&flags.name)?,
+            grants: parse_grants(&flags.grants)?,
+        },
+        OrgCmd::Class(flags) => Edit::SetClass {
+            organisation: name(&flags.name)?,
+            class: class(&flags.class)?,
+        },
+        OrgCmd::Quality(flags) => Edit::AddException {
+            organisation: name(&flags.name)?,
+            rule: Rule::Quality(flags.quality),
+            reason: flags.reason.clone(),
+        },
+        OrgCmd::Limit(flags) => Edit::AddException {
+            organisation: name(&flags.name)?,
+            rule: Rule::InFlight(flags.limit),
+            reason: flags.reason.clone(),
+        },
+        OrgCmd::Delete(flags) => Edit::RemoveOrganisation {
+            organisation: name(&flags.name)?,
+        },
+    };
+    Ok(edit)
+}
+
+/// Returns the edit of a version's command.
+pub(super) fn of_version(version: &Version) -> Result<Edit, CommandError> {
+    let edit = match &version.subcommand {
+        VersionCmd::Declare(flags) => Edit::DeclareVersion {
+            version: name(&flags.version)?,
+            price_in: flags.price_in.unwrap_or(NO_PRICE),
+            price_out: flags.price_out.unwrap_or(NO_PRICE),
+            prior: flags.prior.unwrap_or(USUAL_PRIOR),
+        },
+        VersionCmd::Offer(flags) => Edit::Offer {
+            version: name(&flags.version)?,
+        },
+        VersionCmd::RollOut(flags) => Edit::StartRollOut {
+            version: name(&flags.version)?,
+            steps: flags.steps.clone(),
+        },
+        VersionCmd::Step(flags) => Edit::StepRollOut {
+            version: name(&flags.version)?,
+        },
+        VersionCmd::Pause(flags) => Edit::PauseRollOut {
+            version: name(&flags.version)?,
+            paused: true,
+        },
+        VersionCmd::Unpause(flags) => Edit::PauseRollOut {
+            version: name(&flags.version)?,
+            paused: false,
+        },
+        VersionCmd::Halt(flags) => Edit::Halt {
+            version: name(&flags.version)?,
+            reason: flags.reason.clone(),
+        },
+        VersionCmd::Resume(flags) => Edit::Resume {
+            version: name(&flags.version)?,
+        },
+        VersionCmd::Withdraw(flags) => Edit::Withdraw {
+            version: name(&flags.version)?,
+        },
+    };
+    Ok(edit)
+}
+
+/// Returns the edit that makes a service known.
+pub(super) fn of_service(flags: &ServiceFlags) -> Result<Edit, CommandError> {
+    let repeatable: BTreeSet<String> = flags
+        .repeatable
+        .iter()
+        .map(|method| method.to_uppercase())
+        .collect();
+    let about = Service {
+        repeatable,
+        price: flags.price.unwrap_or(NO_PRICE),
+    };
+    Ok(Edit::DeclareService {
+        service: name(&flags.name)?,
+        about,
+    })
+}
+
+/// Returns the edit of a default; what no flag names stays as it is.
+pub(super) fn of_default(
+    flags: &DefaultFlags,
+    catalogue: &Catalogue,
+) -> Result<Edit, CommandError> {
+    let class = class(&flags.class)?;
+    let mut default = catalogue.class_default(class);
+    default.quality = flags.quality.unwrap_or(default.quality);
+    default.in_flight = flags.in_flight.unwrap_or(default.in_flight);
+    if !flags.grant.is_empty() {
+        default.grants = parse_grants(&flags.grant)?;
+    }
+    Ok(Edit::SetDefault { class, default })
+}
+
+/// Returns the edit that adds an exception.
+pub(super) fn of_exception(flags: &ExceptionFlags) -> Result<Edit, CommandError> {
+    let rule = match (&flags.deny, flags.no_roll_out) {
+        (Some(version), false) => Rule::Deny(name(version)?),
+        (None, true) => Rule::NoRollOut,
+        _ => {
+            let wanted = "exactly one of --deny and --no-roll-out is needed";
+            return Err(CommandError::Use(wanted.to_owned()));
+        }
+    };
+    Ok(Edit::AddException {
+        organisation: name(&flags.organisation)?,
+        rule,
+        reason: flags.reason.clone(),
+    })
+}
--- /dev/null
+++ b/src/command/run.rs
@@ -0,0 +1,266 @@
+//! Carrying out commands.
+
+use std::collections::BTreeMap;
+use std::env;
+use std::fs;
+use std::io::IsTerminal;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use papayatray_core::catalogue::Catalogue;
+use papayatray_core::catalogue::Edit;
+use papayatray_core::directory::Endpoint;
+use papayatray_core::id::KeyHash;
+use papayatray_core::id::Revision;
+use papayatray_wire::peer::Bills;
+use papayatray_wire::peer::History;
+use papayatray_wire::peer::Replace;
+use papayatray_wire::peer::Replaced;
+use papayatray_wire::peer::Span;
+use papayatray_wire::peer::Status;
+
+use super::CommandError;
+use super::edit;
+use super::show;
+use super::show::Format;
+use crate::client::Client;
+use crate::flags::OrgCmd;
+use crate::flags::Papayatray;
+use crate::flags::PapayatrayCmd;
+use crate::plan::Plan;
+
+/// Variable that holds the address of an entry.
+const ADDRESS: &str = "PAPAYATRAY_ADDRESS";
+/// Variable that holds the operator's key.
+const KEY: &str = "PAPAYATRAY_KEY";
+/// Longest wait until a change is in force everywhere.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Returns a new key and its digest.
+pub fn new_key() -> (String, KeyHash) {
+    let (high, low): (u128, u64) = rand::random();
+    let key = format!("ptk_{high:032x}{low:016x}");
+    let hash = KeyHash::new(blake3::hash(key.as_bytes()).to_hex().as_str());
+    (key, hash)
+}
+
+/// Carries out the command that `flags` name.
+///
+/// # Errors
+///
+/// Returns why it failed, with the exit code that says so.
+pub async fn run(flags: Papayatray) -> Result<(), CommandError> {
+    let format = Format::parse(flags.format.as_deref())?;
+    if let PapayatrayCmd::NewKey(_) = flags.subcommand {
+        let (key, hash) = new_key();
+        show::key(&key, Some(&hash), format);
+        return Ok(());
+    }
+    let session = Session {
+        client: client(&flags)?,
+        format,
+        flags: &flags,
+    };
+    session.run().await
+}
+
+fn client(flags: &Papayatray) -> Result<Client, CommandError> {
+    let named = env::var(ADDRESS).ok().map(|text| {
+        let wanted = format!("{ADDRESS}={text}: wanted is an IP number with a port");
+        text.parse::<SocketAddr>()
+            .map_err(|_bad| CommandError::Use(wanted))
+    });
+    let address = match (flags.address, named) {
+        (Some(address), _) => address,
+        (None, Some(named)) => named?,
+        (None, None) => {
+            let wanted = format!("name an entry with --address or {ADDRESS}");
+            return Err(CommandError::Use(wanted));
+        }
+    };
+    let key = match &flags.key_file {
+        Some(path) => read(path)?,
+        None => env::var(KEY).map_err(|_unset| {
+            CommandError::Use(format!("give your key with --key-file or {KEY}"))
+        })?,
+    };
+    Ok(Client::new(address, key.trim()))
+}
+
+fn read(path: &Path) -> Result<String, CommandError> {
+    let named = || path.display().to_string();
+    fs::read_to_string(path).map_err(|error| CommandError::File(named(), error.to_string()))
+}
+
+/// Command with its client.
+struct Session<'a> {
+    client: Client,
+    format: Format,
+    flags: &'a Papayatray,
+}
+
+impl Session<'_> {
+    async fn run(&self) -> Result<(), CommandError> {
+        match &self.flags.subcommand {
+            PapayatrayCmd::NewKey(_) => Ok(()),
+            PapayatrayCmd::Org(org) => self.org(org).await,
+            PapayatrayCmd::Orgs(_) => self.list(show::organisations).await,
+            PapayatrayCmd::Version(version) => self.change(vec![edit::of_version(version)?]).await,
+            PapayatrayCmd::Versions(_) => self.list(show::versions).await,
+            PapayatrayCmd::Service(service) => self.change(vec![edit::of_service(service)?]).await,
+            PapayatrayCmd::ForgetService(flags) => {
+                let service = edit::name(&flags.name)?;
+                self.change(vec![Edit::RemoveService { service }]).await
+            }
+            PapayatrayCmd::Default(default) => {
+                let catalogue = self.client.catalogue().await?;
+                let edits = vec![edit::of_default(default, &catalogue)?];
+                self.change_from(catalogue.revision, edits).await
+            }
+            PapayatrayCmd::Exceptions(_) => self.list(show::exceptions).await,
+            PapayatrayCmd::Exception(exception) => {
+                self.change(vec![edit::of_exception(exception)?]).await
+            }
+            PapayatrayCmd::Lift(flags) => {
+                self.change(vec![Edit::RemoveException {
+                    number: flags.number,
+                }])
+                .await
+            }
+            PapayatrayCmd::Diff(diff) => {
+                let (_, edits) = self.plan(&diff.file).await?;
+                show::edits(&edits, self.format);
+                Ok(())
+            }
+            PapayatrayCmd::Apply(apply) => {
+                let (revision, edits) = self.plan(&apply.file).await?;
+                show::edits(&edits, self.format);
+                if edits.is_empty() {
+                    return Ok(());
+                }
+                self.change_from(revision, edits).await
+            }
+            _ => self.look().await,
+        }
+    }
+
+    /// Carries out commands that change nothing in the configuration.
+    async fn look(&self) -> Result<(), CommandError> {
+        match &self.flags.subcommand {
+            PapayatrayCmd::Status(_) => {
+                let all: Vec<Status> = self.client.get("status").await?;
+                show::status(&all, self.format);
+            }
+            PapayatrayCmd::Endpoints(_) => {
+                let all: Vec<Endpoint> = self.client.get("endpoints").await?;
+                show::endpoints(&all, self.format);
+            }
+            PapayatrayCmd::Bills(flags) => {
+                let mut pairs = BTreeMap::new();
+                pairs.extend(flags.org.as_ref().map(|org| ("organisation", org.as_str())));
+                pairs.extend(flags.lines.then_some(("lines", "1")));
+                let query: Vec<String> = pairs.iter().map(|(k, v)| format!("{k}={v}")).collect();
+                let bills: Bills = self
+                    .client
+                    .get(&format!("bills?{}", query.join("&")))
+                    .await?;
+                let format = if flags.csv { Format::Csv } else { self.format };
+                show::bills(&bills, format);
+            }
+            PapayatrayCmd::History(flags) => {
+                let path = format!("changes?after={}", flags.after.unwrap_or(0));
+                let history: History = self.client.get(&path).await?;
+                show::history(&history, self.format);
+            }
+            PapayatrayCmd::Trace(flags) => {
+                let spans: Vec<Span> = self.client.get(&format!("traces/{}", flags.trace)).await?;
+                show::trace(&spans, self.format);
+            }
+            PapayatrayCmd::Drain(flags) => {
+                let _: bool = self
+                    .client
+                    .post(&format!("drain/{}", flags.vm), &())
+                    .await?;
+                show::done(&format!("{} is stopping", flags.vm), self.format);
+            }
+            PapayatrayCmd::Replace(flags) => {
+                let request = Replace {
+                    lost: edit::name(&flags.lost)?,
+                    newcomer: edit::name(&flags.newcomer)?,
+                };
+                let replaced: Replaced = self.client.post("replace", &request).await?;
+                if let Replaced::Refused(why) = replaced {
+                    return Err(CommandError::Client(crate::client::ClientError::Invalid(
+                        why,
+                    )));
+                }
+                show::done(
+                    "the newcomer is being taken in; see `papayatray status`",
+                    self.format,
+                );
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    async fn org(&self, org: &crate::flags::Org) -> Result<(), CommandError> {
+        let made = matches!(org.subcommand, OrgCmd::AddKey(_)).then(new_key);
+        let hash = made.as_ref().map(|(_, hash)| hash.clone());
+        self.change(vec![edit::of_org(org, hash)?]).await?;
+        if let Some((key, _)) = made {
+            show::key(&key, None, self.format);
+        }
+        Ok(())
+    }
+
+    async fn list<F>(&self, show: F) -> Result<(), CommandError>
+    where
+        F: FnOnce(&Catalogue, Format),
+    {
+        show(&self.client.catalogue().await?, self.format);
+        Ok(())
+    }
+
+    async fn plan(&self, path: &Path) -> Result<(Revision, Vec<Edit>), CommandError> {
+        let plan = Plan::parse(&read(path)?)?;
+        let catalogue = self.client.catalogue().await?;
+        Ok((catalogue.revision, plan.edits(&catalogue)?))
+    }
+
+    async fn change(&self, edits: Vec<Edit>) -> Result<(), CommandError> {
+        let base = self.client.catalogue().await?.revision;
+        self.change_from(base, edits).await
+    }
+
+    /// Makes a change and waits until it is in force.
+    async fn change_from(&self, base: Revision, edits: Vec<Edit>) -> Result<(), CommandError> {
+        let why = self.flags.why.as_deref().unwrap_or_default();
+        let revision = self.client.change(base, why, edits).await?;
+        show::done(&format!("revision {revision}"), self.format);
+        if self.flags.no_wait {
+            return Ok(());
+        }
+        let is_seen = std::io::stderr().is_terminal();
+        let progress = |in_force: Option<Revision>| {
+            if is_seen {
+                let text = in_force.map_or_else(|| "unknown".to_owned(), |r| r.to_string());
+                eprint!("\rin force: {text} of {revision} ");
+            }
+        };
+        let waited = self
+            .client
+            .wait_in_force(revision, IN_FORCE_LIMIT, progress)
+            .await;
+        if is_seen {
+            eprintln!();
+        }
+        let took = waited?;
+        show::done(
+            &format!("in force everywhere after {} ms", took.as_millis()),
+            self.format,
+        );
+        Ok(())
+    }
+}
