fix(state): keep a leader possible through repairs, hand-overs and late messages

Cause: generated histories (loss, delay, duplicates, cuts one way, crashes without unsynced bytes, clock rates, lost disks, hand-overs) found five faults: a replica refused its vote because by its own log it was no voter yet; a leader whose heir crashed stayed half resigned; a message to an earlier folder opened a blank replica; a newcomer counted before the lost replica went, so that losing it too left half of four; a vote under a term heard of elsewhere passed the leader's lease; a restarted replica counted only voters by its own older log as witnesses. Ruled out: the lease itself; that failure came from a fake clock that jumped by a second. Change: each rule mended where it stands; the newcomer now counts only after the lost one went. Conclusion: the order of a repair is catch up, remove, count.

--- a/papayatray_state/src/replica/boot.rs
+++ b/papayatray_state/src/replica/boot.rs
@@ -210,14 +210,10 @@
 
     fn count_confirmed(&mut self) {
         let members = self.log.members();
-        let is_voter = usize::from(members.is_voter(&self.id));
-        let confirmed = self
-            .boot
-            .confirmed
-            .iter()
-            .filter(|id| members.is_voter(id))
-            .count();
-        if confirmed + is_voter >= members.quorum() {
+        // A replica that was taken in lately may be a learner still by this replica's own log.
+        let is_known = |id: &&ReplicaId| members.get(id).is_some();
+        let confirmed = self.boot.confirmed.iter().filter(is_known).count();
+        if confirmed + 1 >= members.quorum() {
             self.open();
         }
     }
@@ -229,7 +225,7 @@
             Message::HelloReply { known } => self.on_known(from, *known),
             Message::Blank { address, was } => self.on_blank(from, address, was.as_ref()),
             Message::Found { members } => self.on_found(members),
-            _ => return self.receive_as_newcomer(message),
+            _ => return false,
         }
         true
     }
@@ -285,11 +281,10 @@
     }
 
     /// Lets a blank replica follow the leader that has taken it in.
-    fn receive_as_newcomer(&mut self, message: &Message) -> bool {
+    pub(super) fn open_as_newcomer(&mut self, message: &Message) {
         let is_taken_in = matches!(message, Message::Append { .. } | Message::Install { .. });
         if self.boot.stage == Stage::Blank && is_taken_in {
             self.open();
         }
-        false
     }
 }
--- a/papayatray_state/src/replica/core.rs
+++ b/papayatray_state/src/replica/core.rs
@@ -108,7 +108,7 @@
     pub(super) progress: BTreeMap<ReplicaId, Progress>,
     pub(super) marks: BTreeMap<ReplicaId, (Term, Index)>,
     pub(super) snapshot: Snapshot,
-    pub(super) yielding: bool,
+    pub(super) yielding: Option<Millis>,
     random: u64,
     ready: Ready,
 }
@@ -143,7 +143,7 @@
             progress: BTreeMap::new(),
             marks: BTreeMap::new(),
             snapshot: restored.snapshot,
-            yielding: false,
+            yielding: None,
             random: seed | 1,
             ready: Ready::default(),
         };
@@ -202,7 +202,7 @@
     /// Tells whether the replica leads, beyond doubt, and has all that was ever accepted.
     pub fn is_current(&self, now: Millis) -> bool {
         let has_own = self.log.term(self.commit) == Some(self.hard.term);
-        self.role == Role::Leader && !self.yielding && has_own && now < self.lease_end()
+        self.role == Role::Leader && self.yielding.is_none() && has_own && now < self.lease_end()
     }
 
     fn lease_end(&self) -> Millis {
@@ -249,8 +249,10 @@
         self.now = self.now.max(now);
         let Envelope { from, to, message } = envelope;
         if self.receive_boot(&from, &message) || to != self.id {
+            // What was meant for an earlier folder of this VM is not for this replica.
             return;
         }
+        self.open_as_newcomer(&message);
         if self.boot.is_open() {
             self.receive_open(&from, message);
         }
@@ -295,7 +297,7 @@
     /// Nothing is returned by a replica that does not lead.
     pub fn propose(&mut self, now: Millis, commands: Vec<Vec<u8>>) -> Option<Index> {
         self.now = self.now.max(now);
-        if self.role != Role::Leader || self.yielding {
+        if self.role != Role::Leader || self.yielding.is_some() {
             return None;
         }
         let first = self.log.last().index + 1;
--- a/papayatray_state/src/replica/election.rs
+++ b/papayatray_state/src/replica/election.rs
@@ -46,7 +46,7 @@
             .iter()
             .find(|(id, p)| p.matched == last && members.is_voter(id));
         if let Some(heir) = fit.map(|(id, _)| id.clone()) {
-            self.yielding = true;
+            self.yielding = Some(self.now);
             self.send(
                 &heir,
                 Message::Stand {
@@ -114,18 +114,20 @@
         }
     }
 
+    /// Decides on a vote.
+    ///
+    /// A replica that is no voter by its own log may be one by the candidate's, which alone counts.
     pub(super) fn on_vote(&mut self, from: &ReplicaId, term: Term, last: Position, transfer: bool) {
-        if !transfer && self.is_led() && term > self.hard.term {
-            // A leader may still be counting on this replica: the lease must run out first.
+        if !transfer && self.is_led() {
+            // A leader may still be counting on this replica: the lease must run out first, also
+            // where the replica has heard of the candidate's term by another way.
             return;
         }
         self.note_term(term);
         let is_free = self.hard.vote.is_none() || self.hard.vote.as_ref() == Some(from);
-        let is_voter = self.log.members().is_voter(&self.id);
         let granted = term == self.hard.term
             && self.role != Role::Leader
             && is_free
-            && is_voter
             && self.is_up_to_date(last);
         if granted {
             self.timer = self.now;
@@ -174,7 +176,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.id.clone());
         self.led_since = self.now;
-        self.yielding = false;
+        self.yielding = None;
         self.progress.clear();
         let next = self.log.last().index + 1;
         for id in self.others() {
@@ -201,17 +203,22 @@
             self.timer = self.now;
         }
         self.role = Role::Follower;
-        self.yielding = false;
+        self.yielding = None;
         self.leader = leader;
     }
 
-    /// Steps down when no quorum has answered for as long as an election takes.
+    /// Steps down when no quorum has answered, or no heir stood, for as long as an election takes.
     pub(super) fn check_quorum(&mut self) {
         let since = self
             .quorum_ack()
             .unwrap_or(Millis::ZERO)
             .max(self.led_since);
-        if self.now.since(since) > ELECTION_LEAST {
+        // An heir that never stood is given up in another term: in this one, a late message could
+        // still make it stand, and nobody could count on the lease.
+        let is_stuck = self
+            .yielding
+            .is_some_and(|at| self.now.since(at) > ELECTION_LEAST);
+        if is_stuck || self.now.since(since) > ELECTION_LEAST {
             self.follow(None);
         }
     }
--- a/papayatray_state/src/replica/replication.rs
+++ b/papayatray_state/src/replica/replication.rs
@@ -289,8 +289,8 @@
 
     /// Takes in a replica that has sent [`Message::Blank`], in place of `lost` if that is given.
     ///
-    /// The newcomer first catches up, then counts, and only then `lost` goes. Tells whether the
-    /// change could begin.
+    /// The newcomer first catches up, then `lost` goes, and then the newcomer counts. Tells
+    /// whether the change could begin.
     pub fn admit(&mut self, newcomer: &ReplicaId, lost: Option<&ReplicaId>) -> bool {
         let Some(address) = self.boot.blank_address(newcomer).map(str::to_owned) else {
             return false;
@@ -318,7 +318,11 @@
         self.broadcast();
     }
 
-    /// Carries on with replacements: promotes who has caught up, then removes who was replaced.
+    /// Carries on with replacements: once the newcomer has caught up, the lost replica goes, and
+    /// then the newcomer counts.
+    ///
+    /// In this order no step needs more replicas alive than the deployment did before the repair:
+    /// with the newcomer counted first, losing it too would leave half of four.
     fn change_members(&mut self) {
         if !self.may_change() {
             return;
@@ -328,16 +332,13 @@
             let matched = self.progress.get(id).map_or(0, |p| p.matched);
             matched >= self.commit
         };
-        let learner = members.iter().find(|(id, m)| !m.voter && is_ready(id));
-        let replaced = members
-            .iter()
-            .find_map(|(_, m)| m.replaces.clone().filter(|_| m.voter));
-        if let Some((id, _)) = learner {
-            self.set_members(members.with_voter(id));
-        } else if let Some(lost) = replaced
-            && lost != self.id
-        {
-            self.set_members(members.without(&lost));
+        let Some((id, member)) = members.iter().find(|(id, m)| !m.voter && is_ready(id)) else {
+            return;
+        };
+        match &member.replaces {
+            None => self.set_members(members.with_voter(id)),
+            Some(lost) if *lost != self.id => self.set_members(members.without(lost)),
+            Some(_) => {}
         }
     }
 }
--- /dev/null
+++ b/papayatray_state/tests/common/disk.rs
@@ -0,0 +1,139 @@
+//! Disk that forgets what was not synced.
+
+use std::collections::BTreeMap;
+use std::io;
+
+use papayatray_state::storage::Disk;
+
+/// File: what is durable, and what was written on top.
+#[derive(Clone, Debug, Default)]
+struct File {
+    durable: Vec<u8>,
+    bytes: Vec<u8>,
+}
+
+/// Disk in memory.
+#[derive(Clone, Debug, Default)]
+pub struct FakeDisk {
+    files: BTreeMap<u64, File>,
+    names: BTreeMap<String, u64>,
+    durable_names: BTreeMap<String, u64>,
+    next: u64,
+    /// Operations after which every one fails, where set.
+    pub fail_after: Option<u64>,
+    /// Whether syncs are claimed and not done, to show that a test would notice.
+    pub lying: bool,
+}
+
+impl FakeDisk {
+    /// Loses power: what was not synced is lost, but for up to `torn` bytes at each file's end.
+    pub fn crash(mut self, torn: usize) -> Self {
+        self.names.clone_from(&self.durable_names);
+        for file in self.files.values_mut() {
+            let kept = file.bytes.len().min(file.durable.len() + torn);
+            let is_longer = file.bytes.len() > file.durable.len();
+            if is_longer && file.bytes.starts_with(&file.durable) {
+                file.bytes.truncate(kept);
+            } else {
+                file.bytes.clone_from(&file.durable);
+            }
+            file.durable.clone_from(&file.bytes);
+        }
+        self.fail_after = None;
+        self
+    }
+
+    /// Changes one byte of a file, as decay would.
+    pub fn corrupt(&mut self, name: &str, offset: usize) {
+        let id = self.names[name];
+        let file = self.files.get_mut(&id).unwrap();
+        file.bytes[offset] ^= 0x40;
+        file.durable.clone_from(&file.bytes);
+    }
+
+    /// Returns the length of a file.
+    pub fn length(&self, name: &str) -> usize {
+        self.files[&self.names[name]].bytes.len()
+    }
+
+    /// Returns the names of all files.
+    pub fn names(&self) -> Vec<String> {
+        self.names.keys().cloned().collect()
+    }
+
+    fn count(&mut self) -> io::Result<()> {
+        match &mut self.fail_after {
+            Some(0) => Err(io::ErrorKind::StorageFull.into()),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        let id = self.names.get(name).ok_or(io::ErrorKind::NotFound)?;
+        self.files
+            .get_mut(id)
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+impl Disk for FakeDisk {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        Ok(self.names())
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        Ok(self.file(name)?.bytes.clone())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.count()?;
+        if !self.names.contains_key(name) {
+            self.next += 1;
+            self.names.insert(name.to_owned(), self.next);
+            self.files.insert(self.next, File::default());
+        }
+        self.file(name)?.bytes.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.count()?;
+        let is_lying = self.lying;
+        let file = self.file(name)?;
+        if !is_lying {
+            file.durable.clone_from(&file.bytes);
+        }
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.count()?;
+        self.file(name)?
+            .bytes
+            .truncate(usize::try_from(length).unwrap());
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.count()?;
+        let id = self.names.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        self.names.insert(to.to_owned(), id);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.count()?;
+        self.names.remove(name);
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.count()?;
+        self.durable_names.clone_from(&self.names);
+        Ok(())
+    }
+}
