test(state): hold storage and replicas to the faults that the users name

Ruled out: a slow log; the first form of the restart test was quadratic in organisations, as each change copies the catalogue, and was replaced by one over 50,000 bills.

--- a/papayatray_state/tests/common/cluster.rs
+++ b/papayatray_state/tests/state/cluster.rs
@@ -31,7 +31,7 @@
 use papayatray_state::replica::Role;
 use papayatray_state::storage::Store;
 
-use super::disk::FakeDisk;
+use crate::disk::FakeDisk;
 
 /// Most messages on their way.
 const WIRE: usize = 2_000;
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 pub struct Vm {
     /// Name.
-    pub vm: VmId,
+    pub name: VmId,
     /// Name of the replica in the present folder.
     pub id: ReplicaId,
     /// The node, while it runs.
@@ -115,7 +115,7 @@
         };
         let (disk, rate, offset) = (FakeDisk::default(), 1_000, 0);
         self.vms.push(Vm {
-            vm,
+            name: vm,
             id,
             node: None,
             disk,
@@ -156,13 +156,13 @@
         let now = self.clock(number);
         let founders = self.vms[..3.min(self.vms.len())].iter();
         let founders = founders
-            .map(|vm| (vm.vm.clone(), vm.vm.to_string()))
+            .map(|vm| (vm.name.clone(), vm.name.to_string()))
             .collect();
         let vm = &mut self.vms[number];
         let disk = std::mem::take(&mut vm.disk);
         let (store, loaded) = Store::open(disk).expect("what was synced can be read");
         let seed = 7_919 * (number as u64 + 1) + now.as_u64();
-        let address = vm.vm.to_string();
+        let address = vm.name.to_string();
         let node = Node::new(vm.id.clone(), &address, store, loaded, seed, now);
         let mut node = node.expect("a snapshot that was synced can be read");
         node.set_founders(founders, None);
@@ -211,8 +211,8 @@
     }
 
     fn hand_over(&mut self, envelope: Envelope) {
-        let from = self.vms.iter().position(|vm| vm.vm == envelope.from.vm);
-        let to = self.vms.iter().position(|vm| vm.vm == envelope.to.vm);
+        let from = self.vms.iter().position(|vm| vm.name == envelope.from.vm);
+        let to = self.vms.iter().position(|vm| vm.name == envelope.to.vm);
         let (Some(from), Some(to)) = (from, to) else {
             return;
         };
--- a/papayatray_state/tests/histories.rs
+++ b/papayatray_state/tests/state/histories.rs
@@ -1,11 +1,5 @@
 //! Generated histories of faults, through which the state keeps what it has promised.
 
-mod common;
-
-use common::cluster::Cluster;
-use common::cluster::bill;
-use common::cluster::change;
-use common::cluster::claim;
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::Strategy;
 use proptest::prelude::any;
@@ -13,6 +7,11 @@
 use proptest::proptest;
 use proptest::test_runner::FileFailurePersistence;
 
+use crate::cluster::Cluster;
+use crate::cluster::bill;
+use crate::cluster::change;
+use crate::cluster::claim;
+
 /// Histories in each run of the tests; `PAPAYATRAY_HISTORIES` sets another number.
 const HISTORIES: u32 = 300;
 /// Rounds within which a healed deployment must serve again.
--- /dev/null
+++ b/papayatray_state/tests/state/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the state: its storage, its replicas, and generated histories of faults.
+
+#![expect(clippy::unwrap_used, reason = "a test that cannot go on fails")]
+
+mod cluster;
+mod disk;
+mod histories;
+mod replicas;
+mod storage;
--- /dev/null
+++ b/papayatray_state/tests/state/storage.rs
@@ -0,0 +1,239 @@
+//! Storage: what was synced survives, and what is broken is told.
+
+use papayatray_core::clock::Millis;
+use papayatray_core::id::Incarnation;
+use papayatray_core::id::Term;
+use papayatray_core::id::VmId;
+use papayatray_state::replica::Entry;
+use papayatray_state::replica::HardState;
+use papayatray_state::replica::Members;
+use papayatray_state::replica::Payload;
+use papayatray_state::replica::Position;
+use papayatray_state::replica::Ready;
+use papayatray_state::replica::Snapshot;
+use papayatray_state::storage::Store;
+use papayatray_state::storage::StoreError;
+use papayatray_state::storage::open_folder;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::proptest;
+
+use crate::cluster::Cluster;
+use crate::cluster::bill;
+use crate::cluster::change;
+use crate::disk::FakeDisk;
+
+/// Only segment of a short log.
+const SEGMENT: &str = "log-0000000000000001";
+
+fn entry(index: u64, term: u64) -> Entry {
+    let payload = Payload::Command(vec![u8::try_from(index % 251).unwrap(); 40]);
+    Entry {
+        position: Position {
+            term: Term(term),
+            index,
+        },
+        payload,
+    }
+}
+
+fn ready(entries: Vec<Entry>) -> Ready {
+    let hard = Some(HardState {
+        term: Term(1),
+        vote: None,
+    });
+    Ready {
+        hard,
+        entries,
+        ..Ready::default()
+    }
+}
+
+fn filled(count: u64) -> FakeDisk {
+    let (mut store, _) = Store::open(FakeDisk::default()).unwrap();
+    for index in 1..=count {
+        store.save(&ready(vec![entry(index, 1)])).unwrap();
+    }
+    store.into_disk()
+}
+
+#[test]
+fn torn_tail_is_cut_and_all_synced_entries_stay() {
+    let (mut store, _) = Store::open(filled(5)).unwrap();
+    let mut disk = store.disk().clone();
+    let whole = disk.length(SEGMENT);
+    store.save(&ready(vec![entry(6, 1)])).unwrap();
+    let longer = store.into_disk();
+    for torn in 0..longer.length(SEGMENT) - whole {
+        use papayatray_state::storage::Disk;
+        let mut cut = longer.clone();
+        cut.truncate(SEGMENT, (whole + torn) as u64).unwrap();
+        let (store, loaded) = Store::open(cut).unwrap();
+        assert_eq!(
+            loaded.restored.entries.len(),
+            5,
+            "entries after a tear at byte {torn}"
+        );
+        assert_eq!(loaded.torn, torn as u64);
+        disk = store.into_disk();
+    }
+    let (_, loaded) = Store::open(disk).unwrap();
+    assert_eq!(loaded.torn, 0, "the cut itself is durable");
+}
+
+#[test]
+fn corrupt_middle_is_refused_with_its_place() {
+    let disk = filled(5);
+    let length = disk.length(SEGMENT);
+    // The last frame begins somewhere behind; any byte well before it is in the middle.
+    for offset in (0..length - 80).step_by(7) {
+        let mut bad = disk.clone();
+        bad.corrupt(SEGMENT, offset);
+        let error = Store::open(bad).expect_err("a corrupt middle is not skipped");
+        let is_placed = matches!(&error, StoreError::Corrupt { file, .. } if file == SEGMENT);
+        assert!(is_placed, "byte {offset}: {error}");
+    }
+}
+
+#[test]
+fn conflicting_entry_replaces_its_successors() {
+    let (mut store, _) = Store::open(filled(5)).unwrap();
+    store.save(&ready(vec![entry(3, 2)])).unwrap();
+    let (_, loaded) = Store::open(store.into_disk()).unwrap();
+    let places: Vec<(u64, u64)> = loaded
+        .restored
+        .entries
+        .iter()
+        .map(|entry| (entry.position.index, entry.position.term.0))
+        .collect();
+    assert_eq!(places, [(1, 1), (2, 1), (3, 2)]);
+}
+
+#[test]
+fn snapshot_of_another_history_drops_the_old_log() {
+    let (mut store, _) = Store::open(filled(5)).unwrap();
+    let snapshot = Snapshot {
+        position: Position {
+            term: Term(2),
+            index: 4,
+        },
+        members: Members::default(),
+        state: vec![9],
+    };
+    // The crash comes after the snapshot and before the log says so.
+    store.save_snapshot(&snapshot, 0).unwrap();
+    let (_, loaded) = Store::open(store.into_disk()).unwrap();
+    assert_eq!(loaded.restored.snapshot, snapshot);
+    assert_eq!(loaded.restored.entries, [], "entries of the other history");
+}
+
+#[test]
+fn full_disk_stops_the_store_for_good() {
+    let (store, _) = Store::open(filled(2)).unwrap();
+    let mut disk = store.into_disk();
+    disk.fail_after = Some(0);
+    let (mut store, _) = Store::open(disk).unwrap();
+    assert!(matches!(
+        store.save(&ready(vec![entry(3, 1)])),
+        Err(StoreError::Disk { .. })
+    ));
+    assert!(matches!(
+        store.save(&ready(vec![entry(3, 1)])),
+        Err(StoreError::Failed)
+    ));
+    assert!(store.is_failed());
+}
+
+#[test]
+fn full_disk_stops_acknowledging_and_the_others_go_on() {
+    let mut cluster = Cluster::new(3);
+    cluster.settle(60);
+    let leader = cluster.leader().unwrap();
+    cluster.crash(leader, 0);
+    cluster.vms[leader].disk.fail_after = Some(0);
+    cluster.start(leader);
+    cluster.settle(60);
+    let next = cluster.leader().expect("the others go on");
+    assert_ne!(next, leader);
+    cluster.propose(next, change(1, 0));
+    cluster.settle(20);
+    assert_eq!(cluster.answers.changes.len(), 1);
+    assert!(cluster.node(leader).store().is_failed());
+}
+
+#[test]
+fn restart_after_many_commands_is_bounded_by_the_snapshot() {
+    let mut cluster = Cluster::new(3);
+    cluster.settle(60);
+    let leader = cluster.leader().unwrap();
+    for round in 0..50 {
+        for number in 0..1_000 {
+            let at = round * 1_000 + number;
+            let command = bill(at, 1);
+            cluster
+                .node_mut(leader)
+                .propose(1_000_000 + at, command, Millis::new(at));
+        }
+        cluster.settle(4);
+    }
+    assert_eq!(
+        cluster.node(leader).machine().ledger().lines().count(),
+        50_000
+    );
+    cluster.crash(leader, 0);
+    let disk = cluster.vms[leader].disk.clone();
+    let (_, loaded) = Store::open(disk).unwrap();
+    assert!(
+        loaded.restored.entries.len() <= 21_000,
+        "{}",
+        loaded.restored.entries.len()
+    );
+    assert!(loaded.restored.snapshot.position.index >= 20_000);
+}
+
+#[test]
+fn corrupt_folder_becomes_another_replica_and_says_so() {
+    let path = std::env::temp_dir().join(format!("papayatray-folder-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).unwrap();
+    let vm = VmId::new("vm-1").unwrap();
+    let mut folder = open_folder(&path, &vm, Incarnation(7)).unwrap();
+    for index in 1..=5 {
+        folder.store.save(&ready(vec![entry(index, 1)])).unwrap();
+    }
+    let first = folder.id.clone();
+    drop(folder);
+    let again = open_folder(&path, &vm, Incarnation(8)).unwrap();
+    assert_eq!(again.id, first, "a sound folder keeps its number");
+    assert_eq!(again.loaded.restored.entries.len(), 5);
+    drop(again);
+    let file = path.join("log").join(SEGMENT);
+    let mut bytes = std::fs::read(&file).unwrap();
+    bytes[60] ^= 1;
+    std::fs::write(&file, bytes).unwrap();
+    let fresh = open_folder(&path, &vm, Incarnation(9)).unwrap();
+    assert_eq!(fresh.id.folder, Incarnation(9));
+    assert_eq!(fresh.former.map(|(id, _)| id), Some(first));
+    assert!(
+        path.join("corrupt-7").join(SEGMENT).exists(),
+        "the old log is put aside, not lost"
+    );
+    std::fs::remove_dir_all(&path).unwrap();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    #[test]
+    fn any_bytes_in_a_log_file_are_read_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400), keep in 0..200_usize) {
+        use papayatray_state::storage::Disk;
+        let mut disk = filled(2);
+        let keep = keep.min(disk.length(SEGMENT)) as u64;
+        disk.truncate(SEGMENT, keep).unwrap();
+        disk.append(SEGMENT, &bytes).unwrap();
+        match Store::open(disk) {
+            Ok((_, loaded)) => assert!(loaded.restored.entries.len() <= 2),
+            Err(error) => assert!(error.to_string().contains("log"), "{error}"),
+        }
+    }
+}
