--- a/papayatray_core/src/choice.rs
+++ b/papayatray_core/src/choice.rs
@@ -18,7 +18,7 @@
 /// Tokens of a prompt and of an answer that prices are compared by.
 const USUAL_TOKENS: u64 = 1_000;
 /// Most ratings that count, so that the newest keep their weight.
-const RATINGS_KEPT: f64 = 400.0;
+const RATINGS_KEPT: f64 = 200.0;
 
 /// Ratings of a version for one kind of request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
--- /dev/null
+++ b/papayatray_core/tests/core/admission.rs
@@ -0,0 +1,151 @@
+//! Trials never crowd out paying requests; long jobs wait, but not forever.
+
+use papayatray_core::admission::Admission;
+use papayatray_core::admission::Gate;
+use papayatray_core::admission::LONG_AGE;
+use papayatray_core::admission::Turn;
+use papayatray_core::admission::Wish;
+use papayatray_core::catalogue::Class;
+use papayatray_core::clock::Millis;
+use proptest::proptest;
+
+fn wish(ticket: u64, class: Class) -> Wish {
+    Wish {
+        ticket,
+        class,
+        long: false,
+        deadline: Millis::MAX,
+    }
+}
+
+#[test]
+fn paying_request_finds_room_in_a_trial_flood() {
+    let now = Millis::new(1_000);
+    let mut gate = Gate::new(10);
+    for ticket in 0..500 {
+        gate.offer(wish(ticket, Class::Trial), now);
+    }
+    assert_eq!(gate.offer(wish(900, Class::Paying), now), Admission::Run);
+}
+
+#[test]
+fn waiting_paying_request_goes_before_every_trial() {
+    let now = Millis::new(1_000);
+    let mut gate = Gate::new(2);
+    gate.offer(wish(1, Class::Paying), now);
+    gate.offer(wish(2, Class::Paying), now);
+    assert_eq!(gate.offer(wish(3, Class::Trial), now), Admission::Wait);
+    assert_eq!(gate.offer(wish(4, Class::Paying), now), Admission::Wait);
+    gate.finish(Class::Paying, Some(Millis::new(10)));
+    assert_eq!(gate.next(now), Some(Turn::Run(4)));
+}
+
+#[test]
+fn full_queue_sheds_the_trial_and_keeps_the_paying_request() {
+    let now = Millis::new(1_000);
+    let mut gate = Gate::new(1);
+    gate.offer(wish(0, Class::Paying), now);
+    for ticket in 1..=4 {
+        assert_eq!(gate.offer(wish(ticket, Class::Trial), now), Admission::Wait);
+    }
+    assert!(matches!(
+        gate.offer(wish(5, Class::Trial), now),
+        Admission::Shed(_)
+    ));
+    assert_eq!(gate.offer(wish(6, Class::Paying), now), Admission::Wait);
+    assert!(
+        matches!(gate.next(now), Some(Turn::Shed(4, _))),
+        "the newest trial gives its place"
+    );
+}
+
+#[test]
+fn long_job_waits_behind_short_ones_and_ages() {
+    let now = Millis::new(1_000);
+    let mut gate = Gate::new(1);
+    gate.offer(wish(0, Class::Paying), now);
+    let long = Wish {
+        long: true,
+        ..wish(1, Class::Paying)
+    };
+    assert_eq!(gate.offer(long, now), Admission::Wait);
+    let later = now + LONG_AGE;
+    assert_eq!(gate.offer(wish(2, Class::Paying), later), Admission::Wait);
+    gate.finish(Class::Paying, None);
+    assert_eq!(
+        gate.next(later),
+        Some(Turn::Run(1)),
+        "an aged job goes first"
+    );
+}
+
+#[test]
+fn request_past_its_deadline_is_refused_at_once() {
+    let now = Millis::new(1_000);
+    let mut gate = Gate::new(1);
+    gate.offer(wish(0, Class::Paying), now);
+    let soon = Wish {
+        deadline: now + Millis::new(5_000),
+        ..wish(1, Class::Paying)
+    };
+    assert_eq!(gate.offer(soon, now), Admission::Wait);
+    let turn = gate.next(now + Millis::new(5_000));
+    assert!(matches!(turn, Some(Turn::Shed(1, _))), "{turn:?}");
+}
+
+#[test]
+fn request_that_could_not_begin_in_time_is_shed_early() {
+    let now = Millis::new(1_000);
+    let mut gate = Gate::new(1);
+    gate.offer(wish(0, Class::Paying), now);
+    let hurried = Wish {
+        deadline: now + Millis::new(1),
+        ..wish(1, Class::Paying)
+    };
+    assert!(matches!(gate.offer(hurried, now), Admission::Shed(_)));
+}
+
+proptest! {
+    #[test]
+    fn gate_never_runs_more_than_its_limit_and_loses_nobody(
+        limit in 1..20_u32,
+        steps in proptest::collection::vec((0..4_u8, proptest::bool::ANY), 1..300),
+    ) {
+        let mut gate = Gate::new(limit);
+        let mut now = Millis::new(1_000);
+        let mut running: Vec<(u64, Class)> = Vec::new();
+        let mut waiting: std::collections::BTreeMap<u64, Class> = std::collections::BTreeMap::new();
+        for (ticket, (step, is_paying)) in steps.into_iter().enumerate() {
+            let ticket = ticket as u64;
+            let class = if is_paying { Class::Paying } else { Class::Trial };
+            now = now + Millis::new(7);
+            match step {
+                0 | 1 => match gate.offer(wish(ticket, class), now) {
+                    Admission::Run => running.push((ticket, class)),
+                    Admission::Wait => drop(waiting.insert(ticket, class)),
+                    Admission::Shed(retry) => assert!(retry > Millis::ZERO),
+                },
+                2 if !running.is_empty() => {
+                    let (_, class) = running.remove(0);
+                    gate.finish(class, Some(Millis::new(20)));
+                }
+                _ => {
+                    if let Some((ticket, _)) = waiting.pop_first() {
+                        assert!(gate.cancel(ticket));
+                    }
+                }
+            }
+            while let Some(turn) = gate.next(now) {
+                match turn {
+                    Turn::Run(ticket) => running.push((ticket, waiting.remove(&ticket).unwrap())),
+                    Turn::Shed(ticket, _) => drop(waiting.remove(&ticket).unwrap()),
+                }
+            }
+            assert!(running.len() <= limit as usize);
+            assert_eq!(gate.running() as usize, running.len());
+            assert_eq!(gate.waiting(), waiting.len());
+            let is_paying_waiting = waiting.values().any(|class| *class == Class::Paying);
+            assert!(!is_paying_waiting || running.len() == limit as usize, "nobody waits beside room");
+        }
+    }
+}
--- /dev/null
+++ b/papayatray_core/tests/core/claims.rs
@@ -0,0 +1,160 @@
+//! A non-idempotent request runs at most once, and each request is billed once.
+
+use papayatray_core::claim::CLAIM_WINDOW;
+use papayatray_core::claim::ClaimAnswer;
+use papayatray_core::claim::ClaimWish;
+use papayatray_core::claim::Claims;
+use papayatray_core::claim::KeptAnswer;
+use papayatray_core::clock::Millis;
+use papayatray_core::id::RequestId;
+use papayatray_core::id::RequestKey;
+use papayatray_core::ledger::Bill;
+use papayatray_core::ledger::Ledger;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop_oneof;
+use proptest::proptest;
+
+use crate::fixture::organisation;
+use crate::fixture::vm;
+
+fn key(number: usize) -> RequestKey {
+    let request = RequestId::new(format!("r{number}")).unwrap();
+    RequestKey {
+        organisation: organisation("mill"),
+        request,
+    }
+}
+
+fn wish(request: usize, entry: usize, nonce: u64) -> ClaimWish {
+    let span = Millis::new(100);
+    ClaimWish {
+        key: key(request),
+        entry: vm(entry),
+        nonce,
+        body: 1,
+        span,
+    }
+}
+
+fn answer() -> KeptAnswer {
+    KeptAnswer {
+        status: 200,
+        media: "text/plain".to_owned(),
+        body: Some(b"ok".to_vec()),
+    }
+}
+
+fn bill(request: usize, entry: usize) -> Bill {
+    Bill {
+        key: key(request),
+        subject: "wiki".to_owned(),
+        tokens_in: 0,
+        tokens_out: 0,
+        cost: 5,
+        entry: vm(entry),
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Claim(usize, usize),
+    Finish(usize),
+    Release(usize, usize),
+    Bill(usize, usize),
+    Pass(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..4_usize, 0..3_usize).prop_map(|(r, e)| Step::Claim(r, e)),
+        1 => (0..4_usize).prop_map(Step::Finish),
+        1 => (0..4_usize, 0..3_usize).prop_map(|(r, e)| Step::Release(r, e)),
+        2 => (0..4_usize, 0..3_usize).prop_map(|(r, e)| Step::Bill(r, e)),
+        1 => prop_oneof![Just(50), Just(200)].prop_map(Step::Pass),
+    ];
+    proptest::collection::vec(step, 1..80)
+}
+
+proptest! {
+    #[test]
+    fn request_runs_at_most_once_and_is_billed_once(steps in steps()) {
+        let mut claims = Claims::default();
+        let mut ledger = Ledger::default();
+        let mut now = Millis::new(1_000);
+        let mut held: std::collections::BTreeMap<usize, usize> = std::collections::BTreeMap::new();
+        let mut billed = std::collections::BTreeSet::new();
+        for (nonce, step) in steps.into_iter().enumerate() {
+            match step {
+                Step::Claim(request, entry) => {
+                    if claims.claim(&wish(request, entry, nonce as u64), now) == ClaimAnswer::Granted {
+                        assert_eq!(held.insert(request, entry), None, "granted twice");
+                    }
+                }
+                Step::Finish(request) => claims.finish(&key(request), answer()),
+                Step::Release(request, entry) => {
+                    claims.release(&key(request), &vm(entry));
+                    let again = claims.claim(&wish(request, entry, u64::MAX), now);
+                    if again == ClaimAnswer::Granted {
+                        // The claim was given back by its holder, or there was none.
+                        assert!(held.get(&request).is_none_or(|holder| *holder == entry));
+                        held.insert(request, entry);
+                    }
+                }
+                Step::Bill(request, entry) => {
+                    let is_first = ledger.record(&bill(request, entry), now);
+                    assert_eq!(is_first, billed.insert(request));
+                }
+                Step::Pass(millis) => now = now + Millis::new(millis),
+            }
+        }
+        let sum: u64 = ledger.totals().values().map(|total| total.requests).sum();
+        assert_eq!(sum, billed.len() as u64);
+    }
+}
+
+#[test]
+fn resend_finds_the_answer_the_run_or_the_doubt() {
+    let mut claims = Claims::default();
+    let now = Millis::new(1_000);
+    assert_eq!(claims.claim(&wish(1, 0, 1), now), ClaimAnswer::Granted);
+    assert_eq!(
+        claims.claim(&wish(1, 0, 1), now),
+        ClaimAnswer::Granted,
+        "the same wish again"
+    );
+    assert_eq!(
+        claims.claim(&wish(1, 1, 2), now),
+        ClaimAnswer::InProgress(vm(0))
+    );
+    let late = now + Millis::new(101);
+    assert_eq!(claims.claim(&wish(1, 1, 3), late), ClaimAnswer::Unknown);
+    claims.finish(&key(1), answer());
+    assert_eq!(
+        claims.claim(&wish(1, 1, 4), late),
+        ClaimAnswer::Done(answer())
+    );
+    let other = ClaimWish {
+        body: 2,
+        ..wish(1, 1, 5)
+    };
+    assert_eq!(claims.claim(&other, late), ClaimAnswer::Mismatch);
+}
+
+#[test]
+fn claims_and_bills_age_out_and_sums_stay() {
+    let mut claims = Claims::default();
+    let mut ledger = Ledger::default();
+    for request in 0..100 {
+        let at = Millis::new(1_000 + request as u64);
+        claims.claim(&wish(request, 0, 0), at);
+        ledger.record(&bill(request, 0), at);
+    }
+    let late = Millis::new(2_000) + CLAIM_WINDOW;
+    claims.claim(&wish(999, 0, 0), late);
+    ledger.record(&bill(999, 0), late);
+    assert_eq!(claims.len(), 1);
+    assert_eq!(ledger.lines().count(), 1);
+    let sum: u64 = ledger.totals().values().map(|total| total.requests).sum();
+    assert_eq!(sum, 101);
+}
--- /dev/null
+++ b/papayatray_core/tests/core/exposure.rs
@@ -0,0 +1,69 @@
+//! All entries together never expose more callers than a step allows.
+
+use papayatray_core::catalogue::Stage;
+use papayatray_core::exposure::Exposures;
+use proptest::proptest;
+
+use crate::fixture::version;
+
+proptest! {
+    #[test]
+    fn portions_never_exceed_the_step(
+        steps in proptest::collection::vec(1..500_u32, 1..4),
+        asks in proptest::collection::vec((0..860_usize, 1..40_u32), 1..400),
+    ) {
+        let mut growing: Vec<u32> = steps;
+        growing.sort_unstable();
+        growing.dedup();
+        let mut exposures = Exposures::default();
+        let id = version("next@1");
+        for step in 0..growing.len() {
+            let stage = Stage::RollOut {
+                steps: growing.clone(),
+                step: u32::try_from(step).unwrap(),
+                paused: false,
+            };
+            for (_, want) in &asks {
+                exposures.grant(&id, &stage, *want);
+                assert!(exposures.granted(&id) <= growing[step]);
+            }
+        }
+    }
+
+    #[test]
+    fn step_is_used_up_in_the_end(budget in 1..300_u32, want in 1..20_u32) {
+        let mut exposures = Exposures::default();
+        let stage = Stage::RollOut { steps: vec![budget], step: 0, paused: false };
+        for _ in 0..2_000 {
+            exposures.grant(&version("next@1"), &stage, want);
+        }
+        assert_eq!(exposures.granted(&version("next@1")), budget);
+    }
+}
+
+#[test]
+fn nothing_is_granted_outside_a_running_roll_out() {
+    let paused = Stage::RollOut {
+        steps: vec![10],
+        step: 0,
+        paused: true,
+    };
+    let halted = Stage::Halted {
+        steps: vec![10],
+        step: 0,
+        reason: String::new(),
+    };
+    for stage in [
+        paused,
+        halted,
+        Stage::Withdrawn,
+        Stage::Declared,
+        Stage::Offered,
+    ] {
+        assert_eq!(
+            Exposures::default().grant(&version("next@1"), &stage, 5),
+            0,
+            "{stage:?}"
+        );
+    }
+}
--- /dev/null
+++ b/papayatray_core/tests/core/lease.rs
@@ -0,0 +1,106 @@
+//! A configuration is said to be in force only when it is, everywhere, and it never reverts.
+
+use papayatray_core::clock::Millis;
+use papayatray_core::id::Incarnation;
+use papayatray_core::id::Revision;
+use papayatray_core::lease::EntryInfo;
+use papayatray_core::lease::HeldLease;
+use papayatray_core::lease::LEASE_HELD;
+use papayatray_core::lease::LeaseBook;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop_oneof;
+use proptest::proptest;
+
+use crate::fixture::data_centre;
+use crate::fixture::vm;
+
+fn info(number: usize) -> EntryInfo {
+    EntryInfo {
+        vm: vm(number),
+        incarnation: Incarnation(1),
+        data_centre: data_centre("aviles"),
+        caller_address: format!("127.0.0.1:{}", 1_000 + number),
+        peer_address: format!("127.0.0.1:{}", 2_000 + number),
+        draining: false,
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// An entry asks; the answer arrives, or is lost.
+    Renew(usize, u64, bool),
+    Change,
+    NewLeader,
+    Restart(usize),
+    Pass(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        8 => (0..4_usize, 0..400_u64, proptest::bool::weighted(0.8))
+            .prop_map(|(e, delay, arrives)| Step::Renew(e, delay, arrives)),
+        2 => proptest::strategy::Just(Step::Change),
+        1 => proptest::strategy::Just(Step::NewLeader),
+        1 => (0..4_usize).prop_map(Step::Restart),
+        4 => (1..900_u64).prop_map(Step::Pass),
+    ];
+    proptest::collection::vec(step, 1..120)
+}
+
+proptest! {
+    #[test]
+    fn in_force_means_that_no_entry_works_by_less(steps in steps()) {
+        let mut now = Millis::new(10_000);
+        let mut book = LeaseBook::new(now);
+        let mut standing = Revision(1);
+        let mut entries = [HeldLease::default(); 4];
+        let mut said = Revision(0);
+        for step in steps {
+            match step {
+                Step::Renew(entry, delay, arrives) => {
+                    let asked = now;
+                    now = now + Millis::new(delay);
+                    book.renew(&info(entry), entries[entry].revision(), now);
+                    if arrives {
+                        let before = entries[entry].revision();
+                        entries[entry].renew(standing, asked);
+                        assert!(entries[entry].revision() >= before, "never reverts");
+                    }
+                }
+                Step::Change => standing = standing.next(),
+                Step::NewLeader => book = LeaseBook::new(now),
+                Step::Restart(entry) => entries[entry] = HeldLease::default(),
+                Step::Pass(millis) => now = now + Millis::new(millis),
+            }
+            book.expire(now);
+            if let Some(in_force) = book.in_force(standing, now) {
+                said = said.max(in_force);
+            }
+            for entry in entries.iter().filter(|entry| entry.is_held(now)) {
+                assert!(entry.revision() >= said, "{said} was said to be in force everywhere");
+            }
+        }
+    }
+}
+
+#[test]
+fn change_is_in_force_once_a_silent_entry_has_lost_its_lease() {
+    let now = Millis::new(10_000);
+    let mut book = LeaseBook::new(now);
+    let later = now + LEASE_HELD;
+    book.renew(&info(0), Revision(1), later);
+    book.renew(&info(1), Revision(2), later);
+    assert_eq!(book.in_force(Revision(2), later), Some(Revision(1)));
+    let after = later + LEASE_HELD + Millis::new(1);
+    book.renew(&info(1), Revision(2), after);
+    assert_eq!(book.in_force(Revision(2), after), Some(Revision(2)));
+}
+
+#[test]
+fn older_answer_does_not_lengthen_a_lease() {
+    let mut lease = HeldLease::default();
+    assert!(lease.renew(Revision(5), Millis::new(1_000)));
+    assert!(!lease.renew(Revision(4), Millis::new(9_000)));
+    assert!(!lease.is_held(Millis::new(9_000)));
+    assert_eq!(lease.revision(), Revision(5));
+}
--- /dev/null
+++ b/papayatray_core/tests/core/main.rs
@@ -0,0 +1,15 @@
+//! Tests of the aggregates and decisions, one file for each behaviour.
+
+#![expect(clippy::unwrap_used, reason = "a test that cannot go on fails")]
+
+mod admission;
+mod catalogue;
+mod claims;
+mod exposure;
+mod fixture;
+mod health;
+mod lease;
+mod pool;
+mod rollout;
+mod router;
+mod suspicion;
--- /dev/null
+++ b/papayatray_core/tests/core/router.rs
@@ -0,0 +1,194 @@
+//! A request runs only on what its organisation may use, at the quality owed, for the least cost.
+
+use papayatray_core::catalogue::Catalogue;
+use papayatray_core::catalogue::Class;
+use papayatray_core::catalogue::Edit;
+use papayatray_core::catalogue::Rule;
+use papayatray_core::choice::Evidence;
+use papayatray_core::id::Kind;
+use papayatray_core::id::VersionId;
+use papayatray_core::router::Facts;
+use papayatray_core::router::NoVersion;
+use papayatray_core::router::Portions;
+use papayatray_core::router::Route;
+use papayatray_core::router::Wanted;
+use papayatray_core::router::route;
+use proptest::proptest;
+
+use crate::fixture::allow;
+use crate::fixture::catalogue;
+use crate::fixture::create;
+use crate::fixture::declare;
+use crate::fixture::offer;
+use crate::fixture::organisation;
+use crate::fixture::version;
+
+fn decide(catalogue: &Catalogue, evidence: &Evidence, wanted: &Wanted) -> Result<Route, NoVersion> {
+    let portions = Portions::default();
+    let facts = Facts {
+        catalogue,
+        evidence,
+        portions: &portions,
+    };
+    let kind = Kind::new("general").unwrap();
+    route(&facts, &organisation("mill"), wanted, &kind, |_| true)
+}
+
+fn owing(quality: u32) -> Catalogue {
+    let rule = Rule::Quality(quality);
+    let reason = "contract".to_owned();
+    let edit = Edit::AddException {
+        organisation: organisation("mill"),
+        rule,
+        reason,
+    };
+    catalogue().edited(&[edit]).unwrap()
+}
+
+#[test]
+fn cheapest_version_that_meets_the_quality_goes_first() {
+    let route = decide(&owing(400), &Evidence::default(), &Wanted::Any).unwrap();
+    assert_eq!(route.versions[0], version("cheap@1"));
+    let route = decide(&owing(800), &Evidence::default(), &Wanted::Any).unwrap();
+    assert_eq!(route.versions[0], version("good@1"));
+}
+
+#[test]
+fn ratings_move_the_choice_in_both_directions() {
+    let kind = Kind::new("general").unwrap();
+    let mut evidence = Evidence::default();
+    for _ in 0..200 {
+        evidence.add(&version("cheap@1"), &kind, 0.97);
+    }
+    let route = decide(&owing(800), &evidence, &Wanted::Any).unwrap();
+    assert_eq!(
+        route.versions[0],
+        version("cheap@1"),
+        "better than declared"
+    );
+    for _ in 0..400 {
+        evidence.add(&version("cheap@1"), &kind, 0.2);
+    }
+    let route = decide(&owing(400), &evidence, &Wanted::Any).unwrap();
+    assert_eq!(route.versions[0], version("good@1"), "worse than declared");
+}
+
+#[test]
+fn few_ratings_do_not_yet_prove_a_cheap_version() {
+    let kind = Kind::new("general").unwrap();
+    let mut evidence = Evidence::default();
+    evidence.add(&version("cheap@1"), &kind, 1.0);
+    let route = decide(&owing(800), &evidence, &Wanted::Any).unwrap();
+    assert_eq!(route.versions[0], version("good@1"));
+}
+
+#[test]
+fn withdrawn_version_gets_no_new_work_and_no_session() {
+    let gone = catalogue()
+        .edited(&[Edit::Withdraw {
+            version: version("cheap@1"),
+        }])
+        .unwrap();
+    let none = Evidence::default();
+    let route = decide(&gone, &none, &Wanted::Any).unwrap();
+    assert_eq!(route.versions, [version("good@1")]);
+    for wanted in [
+        Wanted::Version(version("cheap@1")),
+        Wanted::Session(version("cheap@1")),
+    ] {
+        let error = decide(&gone, &none, &wanted).unwrap_err();
+        assert_eq!(error, NoVersion::Withdrawn(version("cheap@1")));
+    }
+}
+
+#[test]
+fn session_stays_on_its_version_though_another_is_cheaper() {
+    let wanted = Wanted::Session(version("good@1"));
+    let route = decide(&owing(100), &Evidence::default(), &wanted).unwrap();
+    assert_eq!(route.versions, [version("good@1")]);
+}
+
+#[test]
+fn halted_version_keeps_its_sessions_and_gets_no_new_ones() {
+    let edit = Edit::Halt {
+        version: version("cheap@1"),
+        reason: "errors".to_owned(),
+    };
+    let halted = catalogue().edited(&[edit]).unwrap();
+    let none = Evidence::default();
+    assert!(decide(&halted, &none, &Wanted::Session(version("cheap@1"))).is_ok());
+    assert!(decide(&halted, &none, &Wanted::Version(version("cheap@1"))).is_err());
+}
+
+#[test]
+fn version_in_roll_out_needs_an_exposure() {
+    let edits = [
+        declare("next@1", 1, 990),
+        Edit::StartRollOut {
+            version: version("next@1"),
+            steps: vec![5],
+        },
+        allow("mill", &["cheap@1", "good@1", "next@1"]),
+    ];
+    let catalogue = catalogue().edited(&edits).unwrap();
+    let evidence = Evidence::default();
+    let route_without = decide(&catalogue, &evidence, &Wanted::Any).unwrap();
+    assert!(!route_without.versions.contains(&version("next@1")));
+    let mut portions = Portions::default();
+    portions.add(&version("next@1"), 1);
+    let facts = Facts {
+        catalogue: &catalogue,
+        evidence: &evidence,
+        portions: &portions,
+    };
+    let kind = Kind::new("general").unwrap();
+    let with = route(&facts, &organisation("mill"), &Wanted::Any, &kind, |_| true).unwrap();
+    assert!(with.exposes);
+    assert_eq!(with.versions[0], version("next@1"));
+}
+
+proptest! {
+    #[test]
+    fn route_holds_only_what_the_organisation_may_start(
+        allowed in proptest::collection::btree_set(0..8_usize, 1..8),
+        withdrawn in proptest::collection::btree_set(0..8_usize, 0..8),
+        denied in proptest::option::of(0..8_usize),
+        owed in 0..1_000_u32,
+    ) {
+        let names: Vec<String> = (0..8).map(|n| format!("model@{n}")).collect();
+        let mut edits = vec![create("mill", Class::Paying)];
+        for (number, name) in (0_u32..).zip(&names) {
+            edits.push(declare(name, 10 * number + 1, 100 * number + 50));
+            edits.push(offer(name));
+        }
+        let own: Vec<&str> = allowed.iter().map(|n| names[*n].as_str()).collect();
+        edits.push(allow("mill", &own));
+        for gone in &withdrawn {
+            edits.push(Edit::Withdraw { version: version(&names[*gone]) });
+        }
+        let reason = "contract".to_owned();
+        let rule = Rule::Quality(owed);
+        edits.push(Edit::AddException { organisation: organisation("mill"), rule, reason: reason.clone() });
+        if let Some(denied) = denied {
+            let rule = Rule::Deny(version(&names[denied]));
+            edits.push(Edit::AddException { organisation: organisation("mill"), rule, reason });
+        }
+        // A permission for nothing but withdrawn versions is refused already.
+        let Ok(catalogue) = Catalogue::default().edited(&edits) else {
+            assert!(allowed.is_subset(&withdrawn));
+            return Ok(());
+        };
+        let fit: std::collections::BTreeSet<VersionId> = allowed
+            .iter()
+            .filter(|n| !withdrawn.contains(n) && denied != Some(**n))
+            .map(|n| version(&names[*n]))
+            .collect();
+        match decide(&catalogue, &Evidence::default(), &Wanted::Any) {
+            Ok(route) => {
+                let found: std::collections::BTreeSet<VersionId> = route.versions.into_iter().collect();
+                assert_eq!(found, fit);
+            }
+            Err(_none) => assert!(fit.is_empty()),
+        }
+    }
+}
--- /dev/null
+++ b/papayatray_core/tests/core/suspicion.rs
@@ -0,0 +1,117 @@
+//! One poison request costs two endpoints at most, and the innocent go free.
+
+use std::collections::BTreeSet;
+
+use papayatray_core::clock::Millis;
+use papayatray_core::id::Fingerprint;
+use papayatray_core::id::Incarnation;
+use papayatray_core::suspicion::Life;
+use papayatray_core::suspicion::Suspicion;
+use papayatray_core::suspicion::TrialAnswer;
+use papayatray_core::suspicion::TrialWish;
+use proptest::proptest;
+
+use crate::fixture::vm;
+
+const POISON: Fingerprint = Fingerprint(666);
+
+fn life(endpoint: usize) -> Life {
+    let name = format!("endpoint-{endpoint}");
+    Life {
+        endpoint: name.parse().unwrap(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn wish(fingerprint: Fingerprint, entry: usize, nonce: u64, endpoint: usize) -> TrialWish {
+    TrialWish {
+        fingerprint,
+        entry: vm(entry),
+        nonce,
+        life: life(endpoint),
+    }
+}
+
+proptest! {
+    /// Callers send the poison again and again at any entry, among others in flight.
+    #[test]
+    fn poison_costs_at_most_two_endpoints(
+        sends in proptest::collection::vec((0..9_usize, 0..24_usize, proptest::collection::vec(0..50_u128, 0..6)), 1..60),
+    ) {
+        let mut suspicion = Suspicion::default();
+        let mut lost = BTreeSet::new();
+        let mut now = Millis::new(1_000);
+        for (nonce, (entry, endpoint, company)) in sends.into_iter().enumerate() {
+            now = now + Millis::new(10);
+            let company: Vec<Fingerprint> = company.into_iter().map(Fingerprint).collect();
+            let is_suspect = suspicion.fingerprints().contains(&POISON);
+            let may_run = !is_suspect
+                || suspicion.begin(&wish(POISON, entry, nonce as u64, endpoint), now) == TrialAnswer::Granted;
+            if !may_run || lost.contains(&endpoint) {
+                suspicion.give_back(POISON, &vm(entry));
+                continue;
+            }
+            lost.insert(endpoint);
+            let mut aboard = company.clone();
+            aboard.push(POISON);
+            suspicion.report(&life(endpoint), &aboard, now);
+            // Another entry tells of the same crash, without the poison.
+            suspicion.report(&life(endpoint), &company, now);
+        }
+        assert!(lost.len() <= 2, "{} endpoints lost", lost.len());
+        for innocent in (0..50).map(Fingerprint) {
+            let answer = suspicion.begin(&wish(innocent, 0, 7, 99), now);
+            assert_ne!(answer, TrialAnswer::Condemned, "an innocent is not condemned");
+            suspicion.acquit(innocent, &vm(0));
+        }
+    }
+}
+
+#[test]
+fn two_suspects_are_not_tried_on_one_endpoint() {
+    let mut suspicion = Suspicion::default();
+    let now = Millis::new(1_000);
+    suspicion.report(&life(1), &[Fingerprint(1), Fingerprint(2)], now);
+    assert_eq!(
+        suspicion.begin(&wish(Fingerprint(1), 0, 1, 2), now),
+        TrialAnswer::Granted
+    );
+    assert_eq!(
+        suspicion.begin(&wish(Fingerprint(2), 1, 2, 2), now),
+        TrialAnswer::Busy
+    );
+    assert_eq!(
+        suspicion.begin(&wish(Fingerprint(1), 1, 3, 3), now),
+        TrialAnswer::Busy
+    );
+    assert_eq!(
+        suspicion.begin(&wish(Fingerprint(2), 1, 4, 3), now),
+        TrialAnswer::Granted
+    );
+}
+
+#[test]
+fn trial_that_ends_well_acquits() {
+    let mut suspicion = Suspicion::default();
+    let now = Millis::new(1_000);
+    suspicion.report(&life(1), &[Fingerprint(1)], now);
+    suspicion.begin(&wish(Fingerprint(1), 0, 1, 2), now);
+    suspicion.acquit(Fingerprint(1), &vm(0));
+    assert_eq!(
+        suspicion.begin(&wish(Fingerprint(1), 1, 2, 3), now),
+        TrialAnswer::Clear
+    );
+}
+
+#[test]
+fn trial_whose_entry_vanished_counts_as_a_crash() {
+    let mut suspicion = Suspicion::default();
+    let now = Millis::new(1_000);
+    suspicion.report(&life(1), &[Fingerprint(1)], now);
+    suspicion.begin(&wish(Fingerprint(1), 0, 1, 2), now);
+    let late = now + papayatray_core::suspicion::TRIAL_LIMIT;
+    assert_eq!(
+        suspicion.begin(&wish(Fingerprint(1), 1, 2, 3), late),
+        TrialAnswer::Condemned
+    );
+}
