--- a/papayatray_core/src/pool.rs
+++ b/papayatray_core/src/pool.rs
@@ -100,6 +100,7 @@
     pub health: Health,
     warm: BTreeMap<u64, (EndpointId, Millis)>,
     warm_order: VecDeque<u64>,
+    entries: usize,
     limit: f64,
     slots: u32,
     adapted: Millis,
@@ -114,6 +115,7 @@
             health: Health::default(),
             warm: BTreeMap::new(),
             warm_order: VecDeque::new(),
+            entries: 1,
             limit: 0.0,
             slots: 0,
             adapted: Millis::ZERO,
@@ -127,7 +129,7 @@
         let Some(place) = self.places.get(&endpoint.id) else {
             self.places.insert(endpoint.id.clone(), self.members.len());
             self.members.push(Member::new(endpoint, now));
-            self.slots += endpoint.slots.max(1);
+            self.resize(self.slots + endpoint.slots.max(1));
             return;
         };
         let member = &mut self.members[*place];
@@ -139,11 +141,12 @@
         if member.incarnation != endpoint.incarnation {
             self.health.forget(&endpoint.id);
         }
-        self.slots = self.slots - member.slots + endpoint.slots.max(1);
+        let slots = self.slots - member.slots + endpoint.slots.max(1);
         *member = Member {
             in_flight,
             ..Member::new(endpoint, now)
         };
+        self.resize(slots);
     }
 
     /// Takes out an endpoint that leaves or is gone.
@@ -152,7 +155,7 @@
             return;
         };
         let member = self.members.swap_remove(place);
-        self.slots -= member.slots;
+        self.resize(self.slots - member.slots);
         if let Some(moved) = self.members.get(place) {
             self.places.insert(moved.id.clone(), place);
         }
@@ -259,17 +262,31 @@
         self.members.get_mut(*place)
     }
 
-    /// Fits the gate's limit to what the endpoints report, as one of `entries` that share them.
-    pub fn adapt(&mut self, entries: usize, now: Millis) {
-        if now.since(self.adapted) < ADAPT_EVERY && self.limit > 0.0 {
+    /// Tells among how many entries the endpoints are shared.
+    pub const fn set_entries(&mut self, entries: usize) {
+        self.entries = if entries == 0 { 1 } else { entries };
+    }
+
+    /// Lets the limit follow endpoints that come and go, at once.
+    fn resize(&mut self, slots: u32) {
+        let (before, after) = (f64::from(self.slots), f64::from(slots));
+        self.limit = if before == 0.0 {
+            (after / self.entries as f64 * HEADROOM).min(after)
+        } else {
+            self.limit * after / before
+        };
+        self.slots = slots;
+        self.apply_limit();
+    }
+
+    /// Fits the gate's limit to what the endpoints report.
+    pub fn adapt(&mut self, now: Millis) {
+        if now.since(self.adapted) < ADAPT_EVERY {
             return;
         }
         self.adapted = now;
         let slots = f64::from(self.slots);
-        let even = slots / entries.max(1) as f64;
-        if self.limit == 0.0 {
-            self.limit = (even * HEADROOM).min(slots);
-        }
+        let even = slots / self.entries as f64;
         let fresh = |m: &&Member| now.since(m.load_at) < REPORT_KEPT;
         let waiting: u32 = self
             .members
@@ -283,6 +300,10 @@
         } else {
             (self.limit + slots * RISE).min(slots)
         };
+        self.apply_limit();
+    }
+
+    fn apply_limit(&mut self) {
         #[expect(
             clippy::cast_possible_truncation,
             reason = "at most the sum of all slots"
--- a/papayatray_core/src/router.rs
+++ b/papayatray_core/src/router.rs
@@ -88,6 +88,16 @@
     pub exposes: bool,
 }
 
+impl Route {
+    /// Takes out a version that turned out not to answer.
+    pub fn drop(&mut self, version: &VersionId) {
+        if self.versions.first() == Some(version) {
+            self.exposes = false;
+        }
+        self.versions.retain(|own| own != version);
+    }
+}
+
 /// Everything that a route is decided by.
 #[derive(Clone, Copy, Debug)]
 pub struct Facts<'a> {
--- a/papayatray_core/tests/core/catalogue.rs
+++ b/papayatray_core/tests/core/catalogue.rs
@@ -99,7 +99,10 @@
         },
         declare("cheap@1", 1, 1),
     ] {
-        assert!(gone.edited(&[edit.clone()]).is_err(), "{edit:?}");
+        assert!(
+            gone.edited(std::slice::from_ref(&edit)).is_err(),
+            "{edit:?}"
+        );
     }
 }
 
--- a/papayatray_core/tests/core/fixture.rs
+++ b/papayatray_core/tests/core/fixture.rs
@@ -84,7 +84,11 @@
         incarnation: Incarnation(1),
         sequence: 1,
         address: format!("127.0.0.1:{}", 10_000 + number),
-        data_centre: data_centre(if number % 2 == 0 { "aviles" } else { "gijon" }),
+        data_centre: data_centre(if number.is_multiple_of(2) {
+            "aviles"
+        } else {
+            "gijon"
+        }),
         offer: Offer::Versions(versions.iter().map(|v| version(v)).collect()),
         slots,
         fences: true,
--- a/papayatray_standin/src/site.rs
+++ b/papayatray_standin/src/site.rs
@@ -57,6 +57,8 @@
     pub data_centre: String,
     /// Address for the system's own processes.
     pub peer: SocketAddr,
+    /// Address that the system's own processes reach the VM under, where a relay stands before it.
+    pub relay: Option<SocketAddr>,
     /// Address for callers.
     pub caller: SocketAddr,
     /// Whether the VM has a disk and plays the role control.
@@ -64,6 +66,13 @@
     child: Option<Child>,
 }
 
+impl Vm {
+    /// Returns the address that the others reach the VM under.
+    fn reached(&self) -> SocketAddr {
+        self.relay.unwrap_or(self.peer)
+    }
+}
+
 /// Site on loopback.
 #[derive(Debug)]
 pub struct Site {
@@ -106,6 +115,7 @@
                 name: format!("vm-{}", number + 1),
                 data_centre: data_centres[number % data_centres.len()].to_owned(),
                 peer: free_address().map_err(failed)?,
+                relay: None,
                 caller: free_address().map_err(failed)?,
                 is_control: number < REPLICAS,
                 child: None,
@@ -124,6 +134,11 @@
         &self.vms
     }
 
+    /// Puts a relay before the address for the system's own processes of a VM.
+    pub fn set_relay(&mut self, number: usize, relay: SocketAddr) {
+        self.vms[number].relay = Some(relay);
+    }
+
     /// Returns the addresses for callers.
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.vms.iter().map(|vm| vm.caller).collect()
@@ -156,6 +171,7 @@
             name: format!("vm-{}", number + 1),
             data_centre: data_centre.to_owned(),
             peer: free_address().map_err(failed)?,
+            relay: None,
             caller: free_address().map_err(failed)?,
             is_control,
             child: None,
@@ -251,13 +267,17 @@
         let vm = &self.vms[number];
         let hash = |key: &str| blake3::hash(key.as_bytes()).to_hex();
         let mut text = format!(
-            "vm = \"{}\"\ndata_centre = \"{}\"\npeer_address = \"{}\"\ncluster_secret = \"{SECRET}\"\n",
-            vm.name, vm.data_centre, vm.peer
+            "vm = \"{}\"\ndata_centre = \"{}\"\npeer_address = \"{}\"\npeer_bind = \"{}\"\n",
+            vm.name,
+            vm.data_centre,
+            vm.reached(),
+            vm.peer
         );
+        let _ = writeln!(text, "cluster_secret = \"{SECRET}\"");
         text.push_str("\n[replicas]\n");
         for replica in &self.vms[..REPLICAS] {
             // Writing into a text cannot fail.
-            let _ = writeln!(text, "{} = \"{}\"", replica.name, replica.peer);
+            let _ = writeln!(text, "{} = \"{}\"", replica.name, replica.reached());
         }
         let _ = writeln!(
             text,
--- a/papayatrayd/src/caller/begin.rs
+++ b/papayatrayd/src/caller/begin.rs
@@ -79,17 +79,14 @@
     }
 
     /// Returns leave to use the first version that has room, or waits for the first of all.
-    async fn berth(&self, mut route: Route) -> Result<Berth, Refused> {
+    async fn berth(&self, route: &Route) -> Result<Berth, Refused> {
         let entry = &self.ask.entry;
-        if route.exposes && !entry.portions().spend(&route.versions[0]) {
-            route.versions.remove(0);
-        }
         let pools: Vec<(VersionId, Arc<PoolSlot>)> = route
             .versions
-            .into_iter()
+            .iter()
             .filter_map(|version| {
                 let slot = entry.roster.pool(&Target::Version(version.clone()))?;
-                Some((version, slot))
+                Some((version.clone(), slot))
             })
             .collect();
         for (version, slot) in &pools {
@@ -145,16 +142,51 @@
     }
 
     /// Begins the chat: returns once the first event is there.
+    ///
+    /// Where a version has nobody to answer, or one in roll-out fails, the next version is tried.
     pub(super) async fn begin(
         &self,
         claim: &mut Option<Claim>,
         tried: &mut Tried,
+    ) -> Result<Begun<'_>, Refused> {
+        let mut route = self.route()?;
+        loop {
+            let Some(first) = route.versions.first().cloned() else {
+                return Err(no_version(&self.ask, &NoVersion::NoEndpoint));
+            };
+            if route.exposes && !self.ask.entry.portions().spend(&first) {
+                route.drop(&first);
+                continue;
+            }
+            let berth = self.berth(&route).await?;
+            let version = berth.version.clone();
+            let is_exposed = route.exposes && version == first;
+            let refused = match self.begin_on(berth, is_exposed, claim, tried).await {
+                Ok(begun) => return Ok(begun),
+                Err(refused) => refused,
+            };
+            let is_empty = refused.code() == ErrorCode::NoCapacity;
+            let has_failed = refused.code() == ErrorCode::EndpointFailed && is_exposed;
+            route.drop(&version);
+            if route.versions.is_empty() || !(is_empty || has_failed) {
+                return Err(refused);
+            }
+        }
+    }
+
+    /// Begins the chat on one version.
+    async fn begin_on(
+        &self,
+        berth: Berth,
+        is_exposed: bool,
+        claim: &mut Option<Claim>,
+        tried: &mut Tried,
     ) -> Result<Begun<'_>, Refused> {
         let Berth {
             version,
             slot,
             permit,
-        } = self.berth(self.route()?).await?;
+        } = berth;
         let entry = &self.ask.entry;
         let view = entry.view();
         let Some(about) = view.catalogue.versions.get(&version).cloned() else {
@@ -170,11 +202,17 @@
             claim: claim.as_mut(),
             avoid: std::mem::take(&mut tried.endpoints),
             perhaps_run: tried.perhaps_run,
+            is_exposed,
         };
         let begun = loop {
             let mut dispatched = match dispatch.run().await {
                 Ok(dispatched) => dispatched,
-                Err(refused) => break Err(refused),
+                Err(refused) => {
+                    if refused.code() == ErrorCode::EndpointFailed {
+                        entry.tally(&version, false);
+                    }
+                    break Err(refused);
+                }
             };
             let status = u16::from(dispatched.sent.response.status());
             if status != 200 {
@@ -235,6 +273,7 @@
             claim: None,
             avoid: std::mem::take(&mut tried.endpoints),
             perhaps_run: true,
+            is_exposed: false,
         };
         let outcome = broken(&mut dispatch, &mut begun.aboard, error).await;
         tried.endpoints = std::mem::take(&mut dispatch.avoid);
--- a/papayatrayd/src/caller/dispatch.rs
+++ b/papayatrayd/src/caller/dispatch.rs
@@ -128,6 +128,8 @@
     pub(super) avoid: Vec<EndpointId>,
     /// Whether any endpoint may have run the request.
     pub(super) perhaps_run: bool,
+    /// Whether the version is in roll-out: it gets one try, and its failure is no retry's cost.
+    pub(super) is_exposed: bool,
 }
 
 impl Dispatch<'_> {
@@ -279,7 +281,7 @@
         if self.claim.is_some() {
             return Err(unknown(self.ask));
         }
-        if !self.ask.entry.budget().spend() {
+        if self.is_exposed || !self.ask.entry.budget().spend() {
             let message = "the endpoint failed, and retries are held back";
             let refused = self.refuse(ErrorCode::EndpointFailed, message);
             return Err(refused.retry_after(EMPTY_RETRY));
--- a/papayatrayd/src/caller/service.rs
+++ b/papayatrayd/src/caller/service.rs
@@ -142,6 +142,7 @@
             claim: claim.as_mut(),
             avoid: Vec::new(),
             perhaps_run: false,
+            is_exposed: false,
         };
         let answer = loop {
             let mut dispatched = dispatch.run().await?;
--- a/papayatrayd/src/daemon.rs
+++ b/papayatrayd/src/daemon.rs
@@ -139,7 +139,8 @@
         let key = ClusterKey::new(file.cluster_secret.expose());
         let peers = Arc::new(Peers::new(tasks.clone(), key.clone()));
         // All sockets first: a clash of addresses shows before any state is touched.
-        let peer_listener = bind("peer_address", file.peer_address).await?;
+        let peer_listener =
+            bind("peer_address", file.peer_bind.unwrap_or(file.peer_address)).await?;
         let caller_listener = match &file.entry {
             Some(own) => Some(bind("entry.caller_address", own.caller_address).await?),
             None => None,
--- a/papayatrayd/src/entry/core.rs
+++ b/papayatrayd/src/entry/core.rs
@@ -178,9 +178,9 @@
             for id in self.roster.expire() {
                 event(Level::Warn, "endpoint_expired", &[("endpoint", &id)]);
             }
-            let entries = self.view().entries.len();
+            self.roster.set_entries(self.view().entries.len());
             for (_, slot) in self.roster.pools() {
-                slot.with(|pool| pool.adapt(entries, now));
+                slot.with(|pool| pool.adapt(now));
                 slot.pump();
             }
             self.metrics.gauge("entry.in_flight", self.flights.count());
--- a/papayatrayd/src/entry/roster.rs
+++ b/papayatrayd/src/entry/roster.rs
@@ -6,6 +6,8 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use papayatray_core::admission::Admission;
 use papayatray_core::admission::Turn;
@@ -234,6 +236,7 @@
 pub struct Roster {
     directory: Mutex<Directory>,
     pools: RwLock<BTreeMap<Target, Arc<PoolSlot>>>,
+    entries: AtomicUsize,
     clock: Arc<dyn Clock>,
 }
 
@@ -243,6 +246,7 @@
         Self {
             directory: Mutex::default(),
             pools: RwLock::default(),
+            entries: AtomicUsize::new(1),
             clock,
         }
     }
@@ -300,6 +304,14 @@
         gone
     }
 
+    /// Tells among how many entries the endpoints are shared.
+    pub fn set_entries(&self, entries: usize) {
+        self.entries.store(entries, Ordering::Relaxed);
+        for (_, slot) in self.pools() {
+            slot.with(|pool| pool.set_entries(entries));
+        }
+    }
+
     /// Returns all endpoints.
     pub fn endpoints(&self) -> Vec<Endpoint> {
         self.directory().all().cloned().collect()
@@ -331,7 +343,11 @@
         };
         for target in wanted {
             let slot = self.slot(target);
-            slot.with(|pool| pool.put(endpoint, now));
+            let entries = self.entries.load(Ordering::Relaxed);
+            slot.with(|pool| {
+                pool.set_entries(entries);
+                pool.put(endpoint, now);
+            });
             slot.pump();
         }
     }
--- a/papayatrayd/src/settings/check.rs
+++ b/papayatrayd/src/settings/check.rs
@@ -90,7 +90,10 @@
         .span()
         .and_then(|span| text.get(span))
         .unwrap_or("(none)");
-    let found = if is_secret { "(hidden)" } else { found };
+    if is_secret {
+        // What the library says may show the value.
+        return SettingsError::new(name, &key, "(hidden)", "a text");
+    }
     SettingsError::new(name, &key, one_line(found), message)
 }
 
--- a/papayatrayd/src/settings/file.rs
+++ b/papayatrayd/src/settings/file.rs
@@ -25,6 +25,8 @@
     pub data_centre: DataCentre,
     /// Address for the system's own processes.
     pub peer_address: SocketAddr,
+    /// Address to listen at, where it is not the one that the others reach the VM under.
+    pub peer_bind: Option<SocketAddr>,
     /// Secret that all processes of the deployment share.
     pub cluster_secret: Secret,
     /// Threads that run tasks.
--- /dev/null
+++ b/papayatrayd/tests/faults/callers.rs
@@ -0,0 +1,297 @@
+//! What callers see: whole answers, planned stops, and refusals of bad input.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use http_types::Method;
+use papayatray_standin::EngineOptions;
+use papayatray_standin::call;
+use serde_json::json;
+use smol::Timer;
+use smol::io::AsyncReadExt;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+
+use crate::rig::KEY;
+use crate::rig::Rig;
+use crate::rig::answer_to;
+use crate::rig::chat;
+
+#[test]
+fn planned_stop_cuts_off_no_stream() {
+    smol::block_on(async {
+        let options = EngineOptions {
+            between: Duration::from_millis(50),
+            ..EngineOptions::default()
+        };
+        let mut rig = Rig::start_on(Rig::layout("stop", 4), 2, options).await;
+        let leader = rig.leader(3).await.unwrap();
+        let entry = rig.site.vms()[leader].caller;
+        let streams: Vec<_> = (0..6)
+            .map(|number| {
+                smol::spawn(async move {
+                    let prompt = format!("stream{number} tokens=80");
+                    (number, chat(entry, &prompt, true, &[]).await.unwrap())
+                })
+            })
+            .collect();
+        Timer::after(Duration::from_millis(400)).await;
+        rig.signal(leader, "-TERM");
+        Timer::after(Duration::from_millis(300)).await;
+        rig.signal(leader, "-TERM");
+        let other = (leader + 1) % 4;
+        rig.until("others leave the VM out", || async {
+            let address = rig.site.vms()[other].caller;
+            let answer = call(address, Method::Get, "/v1/entries", &[], Vec::new())
+                .await
+                .unwrap();
+            let entries = answer.json()["entries"].as_array().unwrap().clone();
+            entries.iter().all(|e| e["address"] != entry.to_string())
+        })
+        .await;
+        for stream in streams {
+            let (number, answer) = stream.await;
+            assert!(answer.is_done(), "{answer:?}");
+            assert_eq!(answer.text(), answer_to(&format!("stream{number}"), 80));
+        }
+        assert!(
+            rig.site.wait_ended(leader, Duration::from_secs(20)).await,
+            "ends well by itself"
+        );
+        let answer = rig.chat(other, "after", false).await.unwrap();
+        assert_eq!(answer.status, 200);
+    });
+}
+
+#[test]
+fn withdrawn_version_gets_no_new_work_once_in_force_anywhere() {
+    smol::block_on(async {
+        let mut rig = Rig::start("withdrawn", 4, 1).await;
+        let edits = json!([
+            {"declare-version": {"version": "drafter@2", "price_in": 90, "price_out": 90, "prior": 950}},
+            {"offer": {"version": "drafter@2"}},
+        ]);
+        rig.change_at(0, "offer", 1, edits).await.unwrap();
+        rig.add_engine(9, "drafter@2", EngineOptions::default())
+            .await;
+        rig.wait_endpoints(3).await;
+        rig.wait_in_force(2).await;
+        let callers: Vec<_> = (0..4)
+            .map(|vm| {
+                let entry = rig.site.vms()[vm].caller;
+                smol::spawn(async move {
+                    for _ in 0..150 {
+                        let answer = chat(entry, "load tokens=2", false, &[]).await.unwrap();
+                        assert_eq!(answer.status, 200, "{answer:?}");
+                    }
+                })
+            })
+            .collect();
+        let withdraw = json!([{"withdraw": {"version": "drafter@1"}}]);
+        rig.change_at(1, "withdraw", 2, withdraw).await.unwrap();
+        rig.wait_in_force(3).await;
+        let at_force = rig.engines[0].prompts().len();
+        for caller in callers {
+            caller.await;
+        }
+        assert_eq!(
+            rig.engines[0].prompts().len(),
+            at_force,
+            "no new work after in force"
+        );
+        assert!(!rig.engines[1].prompts().is_empty(), "work moved on");
+    });
+}
+
+#[test]
+fn two_thousand_requests_at_once_get_their_own_answers() {
+    smol::block_on(async {
+        let options = EngineOptions {
+            slots: 64,
+            between: Duration::from_millis(0),
+            ..EngineOptions::default()
+        };
+        let rig = Rig::start_on(Rig::layout("many", 3), 4, options).await;
+        let entry = rig.site.vms()[0].caller;
+        let lanes: Vec<_> = (0..40)
+            .map(|lane| {
+                smol::spawn(async move {
+                    for number in 0..50 {
+                        let word = format!("r{lane}x{number}");
+                        let prompt = format!("{word} tokens=7");
+                        let answer = chat(entry, &prompt, number % 2 == 0, &[]).await.unwrap();
+                        assert_eq!(answer.text(), answer_to(&word, 7), "{answer:?}");
+                    }
+                })
+            })
+            .collect();
+        for lane in lanes {
+            lane.await;
+        }
+        let bills = rig.bills(0).await;
+        assert_eq!(bills.len(), 2_000, "each request is billed once");
+    });
+}
+
+/// Malformed request, and the refusal that it must get.
+struct Malformed {
+    method: Method,
+    path: &'static str,
+    header: Option<(&'static str, &'static str)>,
+    body: &'static str,
+    status: u16,
+    code: &'static str,
+}
+
+const CHATS: &str = "/v1/chat/completions";
+
+/// Returns a malformed chat of a known organisation.
+fn bad_chat(header: Option<(&'static str, &'static str)>, body: &'static str) -> Malformed {
+    let (path, status, code) = (CHATS, 400, "bad_request");
+    Malformed {
+        method: Method::Post,
+        path,
+        header,
+        body,
+        status,
+        code,
+    }
+}
+
+fn malformed() -> Vec<Malformed> {
+    let lost = |method, path, status, code| {
+        let (header, body) = (None, "{}");
+        Malformed {
+            method,
+            path,
+            header,
+            body,
+            status,
+            code,
+        }
+    };
+    vec![
+        bad_chat(None, "{"),
+        bad_chat(None, "[]"),
+        bad_chat(None, r#"{"model": "auto"}"#),
+        bad_chat(None, r#"{"messages": [{"content": "x"}]}"#),
+        bad_chat(None, r#"{"model": "a b", "messages": [{"content": "x"}]}"#),
+        bad_chat(Some(("idempotency-key", "a b")), "{}"),
+        bad_chat(Some(("papayatray-deadline-ms", "soon")), "{}"),
+        lost(Method::Get, CHATS, 405, "method_not_allowed"),
+        lost(Method::Get, "/nowhere", 404, "not_found"),
+        lost(Method::Post, "/platform/v1/endpoints", 401, "unauthorized"),
+        lost(Method::Get, "/operator/v1/status", 401, "unauthorized"),
+        lost(Method::Get, "/v1/services/none/x", 404, "not_found"),
+    ]
+}
+
+#[test]
+fn malformed_input_gets_a_clear_refusal_and_harms_nobody() {
+    smol::block_on(async {
+        let rig = Rig::start("malformed", 3, 1).await;
+        let entry = rig.site.vms()[0].caller;
+        let bearer = format!("Bearer {KEY}");
+        for bad in malformed() {
+            let mut headers = vec![("authorization", bearer.as_str())];
+            headers.extend(bad.header);
+            let body = bad.body.as_bytes().to_vec();
+            let answer = call(entry, bad.method, bad.path, &headers, body)
+                .await
+                .unwrap();
+            let found = (answer.status, answer.code());
+            assert_eq!(
+                found,
+                (bad.status, Some(bad.code.to_owned())),
+                "{} {}",
+                bad.path,
+                bad.body
+            );
+            assert_eq!(answer.json()["error"]["not_run"], true);
+        }
+        for key in ["", "Bearer", "Bearer no", "Basic no"] {
+            let headers = [("authorization", key)];
+            let answer = call(entry, Method::Post, CHATS, &headers, Vec::new())
+                .await
+                .unwrap();
+            assert_eq!(answer.code().as_deref(), Some("unauthorized"), "{key}");
+        }
+        let headers = [("authorization", bearer.as_str())];
+        let large = vec![b'x'; 2 << 20];
+        let answer = call(entry, Method::Post, CHATS, &headers, large)
+            .await
+            .unwrap();
+        assert_eq!(answer.code().as_deref(), Some("too_large"));
+        let forged = [("papayatray-session", "s1~mill~drafter@1~1~00")];
+        let answer = rig.chat_with(0, "x", false, &forged).await.unwrap();
+        assert_eq!(answer.code().as_deref(), Some("bad_session"));
+        garbage_costs_its_own_connection(entry).await;
+        let answer = rig.chat(0, "still", false).await.unwrap();
+        assert_eq!(answer.status, 200, "the daemon goes on");
+        let prompts = rig.engines[0].prompts();
+        assert_eq!(prompts, ["still"], "nothing malformed reached an endpoint");
+    });
+}
+
+async fn garbage_costs_its_own_connection(entry: std::net::SocketAddr) {
+    let long = format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(20_000));
+    let texts = [
+        "\u{1}\u{2}\u{3}\r\n\r\n",
+        "GET\r\n\r\n",
+        "GET / HTTP/9.9\r\n\r\n",
+        long.as_str(),
+    ];
+    for text in texts {
+        let mut stream = TcpStream::connect(entry).await.unwrap();
+        let _ = stream.write_all(text.as_bytes()).await;
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer).into_owned();
+        assert!(
+            answer.starts_with("HTTP/1.1 400"),
+            "{text:.20?}: {answer:.80}"
+        );
+    }
+    // A caller that sends half a request and waits is left alone, and costs nobody else.
+    let mut slow = TcpStream::connect(entry).await.unwrap();
+    slow.write_all(b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n")
+        .await
+        .unwrap();
+    let begin = Instant::now();
+    let health = call(entry, Method::Get, "/healthz", &[], Vec::new())
+        .await
+        .unwrap();
+    assert_eq!(health.status, 200);
+    assert!(begin.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn caller_that_goes_away_cancels_the_work() {
+    smol::block_on(async {
+        let options = EngineOptions {
+            between: Duration::from_millis(10),
+            ..EngineOptions::default()
+        };
+        let rig = Rig::start_on(Rig::layout("gone", 3), 1, options).await;
+        let entry = rig.site.vms()[0].caller;
+        let body = json!({"model": "auto", "stream": true,
+            "messages": [{"role": "user", "content": "long tokens=2000"}]});
+        let text = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.to_string().len()
+        );
+        let mut stream = TcpStream::connect(entry).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut first = [0; 200];
+        stream.read_exact(&mut first).await.unwrap();
+        drop(stream);
+        rig.until("the engine is told", || async {
+            rig.engines[0].cancelled() == 1
+        })
+        .await;
+        assert!(
+            rig.bills(0).await.is_empty(),
+            "an answer that was not whole is not billed"
+        );
+    });
+}
--- /dev/null
+++ b/papayatrayd/tests/faults/control.rs
@@ -0,0 +1,246 @@
+//! Faults of the control replicas.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http_types::Method;
+use papayatray_standin::EngineOptions;
+use papayatray_standin::free_address;
+use serde_json::Value;
+use serde_json::json;
+use smol::Timer;
+use smol::io::AsyncReadExt;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+
+use crate::rig::LIMIT;
+use crate::rig::Rig;
+use crate::rig::serve;
+
+fn organisation(number: u64) -> Value {
+    json!([{"create-organisation": {"organisation": format!("o{number}"), "class": "trial"}}])
+}
+
+#[test]
+fn killed_leader_loses_no_change_no_claim_and_no_bill() {
+    smol::block_on(async {
+        let mut rig = Rig::start("killed-leader", 4, 1).await;
+        let leader = rig.leader(3).await.unwrap();
+        let entry = rig.site.vms()[3].caller;
+        let calls: Vec<_> = (0..60)
+            .map(|number| {
+                smol::spawn(async move {
+                    Timer::after(Duration::from_millis(number * 30)).await;
+                    let id = format!("order-{number}");
+                    loop {
+                        let answer = serve(entry, Method::Post, &id, "steel").await;
+                        match answer {
+                            Ok(answer) if answer.status == 200 => return answer,
+                            Ok(answer) if answer.json()["error"]["code"] == "outcome_unknown" => {
+                                return answer;
+                            }
+                            _ => drop(Timer::after(Duration::from_millis(100)).await),
+                        }
+                    }
+                })
+            })
+            .collect();
+        Timer::after(Duration::from_millis(600)).await;
+        rig.site.kill(leader);
+        let mut accepted = Vec::new();
+        for number in 0..10 {
+            let base = 1 + number;
+            accepted.push(
+                rig.change_at(3, &format!("c{number}"), base, organisation(number))
+                    .await,
+            );
+        }
+        let mut answered = 0;
+        for call in calls {
+            answered += usize::from(call.await.status == 200);
+        }
+        let wanted: Vec<Result<u64, String>> = (0..10).map(|n| Ok(2 + n)).collect();
+        assert_eq!(accepted, wanted);
+        let runs = rig.service.runs();
+        assert!(
+            runs.values().all(|count| *count == 1),
+            "an order runs at most once: {runs:?}"
+        );
+        let mut bills = rig.bills(3).await;
+        let count = bills.len();
+        bills.sort();
+        bills.dedup();
+        assert_eq!(bills.len(), count, "no request is billed twice");
+        assert!(count >= answered, "{answered} answered, {count} billed");
+        assert_eq!(answered, 60, "a lost leader alone makes no outcome unknown");
+        rig.site.start(leader).unwrap();
+        rig.site.wait_ready(&[leader], LIMIT).await.unwrap();
+        for (number, id) in (0..10).zip(0..) {
+            let again = rig
+                .change_at(leader, &format!("c{id}"), 0, organisation(number))
+                .await;
+            assert_eq!(again, Ok(2 + number), "a resend gets the first outcome");
+        }
+    });
+}
+
+/// Relay that can stop passing bytes without closing anything.
+async fn relay(listener: TcpListener, to: SocketAddr, silent: Arc<AtomicBool>) {
+    while let Ok((near, _)) = listener.accept().await {
+        let Ok(far) = TcpStream::connect(to).await else {
+            continue;
+        };
+        smol::spawn(pass(near.clone(), far.clone(), Arc::clone(&silent))).detach();
+        smol::spawn(pass(far, near, Arc::clone(&silent))).detach();
+    }
+}
+
+async fn pass(mut from: TcpStream, mut to: TcpStream, silent: Arc<AtomicBool>) {
+    let mut buffer = vec![0; 16 << 10];
+    while let Ok(count) = from.read(&mut buffer).await {
+        if count == 0 {
+            break;
+        }
+        if silent.load(Ordering::Relaxed) {
+            // The bytes are lost, and the connection stays open: nobody is told.
+            smol::future::pending::<()>().await;
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            break;
+        }
+    }
+    let _ = to.close().await;
+}
+
+#[test]
+fn silent_partition_of_a_control_vm_is_survived_and_healed() {
+    smol::block_on(async {
+        let mut site = Rig::layout("silent", 4);
+        let front = free_address().unwrap();
+        let silent = Arc::new(AtomicBool::new(false));
+        let listener = TcpListener::bind(front).await.unwrap();
+        smol::spawn(relay(listener, site.vms()[0].peer, Arc::clone(&silent))).detach();
+        site.set_relay(0, front);
+        let rig = Rig::start_on(site, 1, EngineOptions::default()).await;
+        silent.store(true, Ordering::Relaxed);
+        rig.until("another leader", || async {
+            rig.leader(3).await.is_some_and(|leader| leader != 0)
+        })
+        .await;
+        let made = rig.change_at(3, "during", 1, organisation(1)).await;
+        assert_eq!(made, Ok(2));
+        let answer = rig
+            .serve(3, Method::Post, "order-1", "steel")
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        silent.store(false, Ordering::Relaxed);
+        rig.until("the lost VM has caught up", || async {
+            let answer = rig.operate(3, Method::Get, "status", &Value::Null).await;
+            let all = answer.map(|a| a.json()).unwrap_or_default();
+            let own = all
+                .as_array()
+                .and_then(|all| all.iter().find(|s| s["vm"] == "vm-1").cloned());
+            own.is_some_and(|own| own["revision"] == 2)
+        })
+        .await;
+    });
+}
+
+#[test]
+fn replaced_vm_lets_a_second_one_be_lost_right_after() {
+    smol::block_on(async {
+        let mut rig = Rig::start("replaced", 4, 1).await;
+        let leader = rig.leader(3).await.unwrap();
+        let lost = (leader + 1) % 3;
+        rig.site.kill(lost);
+        std::fs::remove_dir_all(rig.site.data_folder(lost)).unwrap();
+        rig.site.start(lost).unwrap();
+        let name = rig.site.vms()[lost].name.clone();
+        let request = json!({"lost": name, "newcomer": name});
+        rig.until("the newcomer is taken in", || async {
+            let answer = rig.operate(3, Method::Post, "replace", &request).await;
+            answer.is_ok_and(|answer| answer.json() == json!("Begun"))
+        })
+        .await;
+        rig.until("the repair is over", || async {
+            let Some(status) = rig.leader_status(3).await else {
+                return false;
+            };
+            let replicas = status["replicas"].as_array().unwrap().clone();
+            replicas.len() == 3 && replicas.iter().all(|replica| replica["voter"] == true)
+        })
+        .await;
+        rig.site.kill(leader);
+        assert_eq!(rig.change_at(3, "after", 1, organisation(1)).await, Ok(2));
+        rig.wait_in_force(2).await;
+        let answer = rig
+            .serve(3, Method::Post, "order-1", "steel")
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+    });
+}
+
+#[test]
+fn entry_without_a_quorum_starts_no_new_work_and_says_so() {
+    smol::block_on(async {
+        let mut rig = Rig::start("no-quorum", 4, 1).await;
+        for vm in 0..3 {
+            rig.site.kill(vm);
+        }
+        rig.until("the lease runs out", || async {
+            let answer = rig.chat(3, "late", false).await.unwrap();
+            answer.json()["error"]["code"] == "no_lease"
+                && answer.json()["error"]["not_run"] == true
+        })
+        .await;
+        let before = rig.engines[0].prompts().len();
+        for _ in 0..20 {
+            rig.chat(3, "never", false).await.unwrap();
+        }
+        assert_eq!(rig.engines[0].prompts().len(), before, "not run is true");
+        for vm in 0..3 {
+            rig.site.start(vm).unwrap();
+        }
+        rig.until("service again", || async {
+            rig.chat(3, "again", false)
+                .await
+                .is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+    });
+}
+
+#[test]
+fn frozen_leader_is_replaced_and_says_nothing_false_when_it_wakes() {
+    smol::block_on(async {
+        let rig = Rig::start("frozen", 4, 1).await;
+        let old = rig.leader(3).await.unwrap();
+        rig.signal(old, "-STOP");
+        rig.until("another leader", || async {
+            rig.leader(3).await.is_some_and(|leader| leader != old)
+        })
+        .await;
+        assert_eq!(rig.change_at(3, "during", 1, organisation(1)).await, Ok(2));
+        rig.signal(old, "-CONT");
+        let begin = std::time::Instant::now();
+        while begin.elapsed() < Duration::from_secs(2) {
+            let answer = rig
+                .operate(old, Method::Get, "status", &Value::Null)
+                .await
+                .unwrap();
+            for status in answer.json().as_array().unwrap() {
+                let is_new = status["revision"] != 1;
+                assert!(
+                    is_new || status["in_force"].is_null(),
+                    "a false word: {status}"
+                );
+            }
+        }
+    });
+}
--- /dev/null
+++ b/papayatrayd/tests/faults/endpoints.rs
@@ -0,0 +1,181 @@
+//! Faults of endpoints.
+
+use std::time::Duration;
+
+use http_types::Method;
+use papayatray_standin::EngineOptions;
+use papayatray_standin::Fault;
+use serde_json::json;
+use smol::Timer;
+
+use crate::rig::Rig;
+use crate::rig::answer_to;
+use crate::rig::chat;
+
+#[test]
+fn stream_that_goes_silent_is_resumed_and_whole() {
+    smol::block_on(async {
+        let rig = Rig::start("stall", 3, 1).await;
+        rig.engines[0].set_fault(Fault::StallAfter(5));
+        for stream in [true, false] {
+            let answer = rig.chat(1, "word tokens=30", stream).await.unwrap();
+            assert_eq!(answer.text(), answer_to("word", 30));
+            assert_eq!(answer.is_done(), stream);
+        }
+        assert_eq!(rig.engines[0].prompts().len(), 2, "resumed, not run again");
+    });
+}
+
+#[test]
+fn answer_to_another_attempt_is_never_delivered() {
+    smol::block_on(async {
+        let rig = Rig::start("attempt", 3, 1).await;
+        rig.engines[0].set_fault(Fault::WrongAttempt);
+        let answer = rig.chat(0, "mine", false).await.unwrap();
+        assert_ne!(answer.status, 200, "{answer:?}");
+        assert_eq!(answer.text(), "");
+    });
+}
+
+#[test]
+fn crashed_endpoint_costs_no_caller_its_answer() {
+    smol::block_on(async {
+        let options = EngineOptions {
+            between: Duration::from_millis(20),
+            ..EngineOptions::default()
+        };
+        let rig = Rig::start_on(Rig::layout("crash", 3), 3, options).await;
+        let callers: Vec<_> = (0..8)
+            .map(|number| {
+                let entry = rig.site.vms()[number % 3].caller;
+                smol::spawn(async move {
+                    let prompt = format!("caller{number} tokens=20");
+                    (number, chat(entry, &prompt, false, &[]).await.unwrap())
+                })
+            })
+            .collect();
+        Timer::after(Duration::from_millis(150)).await;
+        rig.engines[0].crash();
+        for caller in callers {
+            let (number, answer) = caller.await;
+            assert_eq!(
+                answer.text(),
+                answer_to(&format!("caller{number}"), 20),
+                "{answer:?}"
+            );
+        }
+        let bills = rig.bills(0).await;
+        assert_eq!(bills.len(), 8, "retries are one bill");
+    });
+}
+
+#[test]
+fn poison_sent_again_via_every_entry_costs_two_endpoints_at_most() {
+    smol::block_on(async {
+        let rig = Rig::start("poison", 5, 6).await;
+        let mut codes = Vec::new();
+        for round in 0..3 {
+            for vm in 0..5 {
+                let name = format!("poisoned-{round}");
+                let headers = [("idempotency-key", name.as_str())];
+                let answer = rig.chat_with(vm, "poison", false, &headers).await.unwrap();
+                assert_ne!(answer.status, 200);
+                codes.push(answer.code().unwrap_or_default());
+            }
+        }
+        let lost = rig
+            .engines
+            .iter()
+            .filter(|engine| engine.is_crashed())
+            .count();
+        assert!(lost <= 2, "{lost} endpoints lost; {codes:?}");
+        assert_eq!(
+            codes.last().map(String::as_str),
+            Some("poison_request"),
+            "{codes:?}"
+        );
+        let answer = rig.chat(0, "healthy", false).await.unwrap();
+        assert_eq!(answer.status, 200, "others are served");
+    });
+}
+
+#[test]
+fn lost_service_call_is_unknown_and_never_run_again() {
+    smol::block_on(async {
+        let rig = Rig::start("unknown", 3, 1).await;
+        let first = rig.serve(0, Method::Post, "order-0", "x").await.unwrap();
+        assert_eq!(first.status, 200);
+        let entry = rig.site.vms()[0].caller;
+        let slow = smol::spawn(async move {
+            crate::rig::serve(entry, Method::Post, "order-1", "x")
+                .await
+                .unwrap()
+        });
+        rig.until("the order reaches the service", || async {
+            rig.service.runs().contains_key("order-1")
+        })
+        .await;
+        rig.service.crash();
+        let answer = slow.await;
+        if answer.status == 200 {
+            return;
+        }
+        assert_eq!(answer.json()["error"]["not_run"], false, "{answer:?}");
+        for vm in 0..3 {
+            let again = rig.serve(vm, Method::Post, "order-1", "x").await.unwrap();
+            assert_eq!(again.json()["error"]["not_run"], false, "{again:?}");
+        }
+        assert_eq!(rig.service.runs()["order-1"], 1);
+    });
+}
+
+#[test]
+fn endpoint_that_left_gets_no_new_work_after_two_seconds() {
+    smol::block_on(async {
+        let mut rig = Rig::start("leave", 3, 2).await;
+        let announcer = rig.announcers.remove(0);
+        announcer.leave(1).await.unwrap();
+        Timer::after(Duration::from_secs(2)).await;
+        let before = rig.engines[0].prompts().len();
+        for number in 0..30 {
+            let answer = rig.chat(number % 3, "work", false).await.unwrap();
+            assert_eq!(answer.status, 200);
+        }
+        assert_eq!(rig.engines[0].prompts().len(), before);
+        assert!(rig.engines[1].prompts().len() >= 30);
+    });
+}
+
+#[test]
+fn version_that_fails_is_halted_by_itself_and_work_moves_on() {
+    smol::block_on(async {
+        let mut rig = Rig::start("halt", 3, 2).await;
+        let edits = json!([
+            {"declare-version": {"version": "drafter@2", "price_in": 1, "price_out": 1, "prior": 950}},
+            {"start-roll-out": {"version": "drafter@2", "steps": [40, 400]}},
+        ]);
+        rig.change_at(0, "roll-out", 1, edits).await.unwrap();
+        rig.wait_in_force(2).await;
+        rig.add_engine(7, "drafter@2", EngineOptions::default())
+            .await;
+        rig.engines[2].set_fault(Fault::Fail);
+        rig.wait_endpoints(4).await;
+        let catalogue = || async {
+            let answer = rig
+                .operate(0, Method::Get, "catalogue", &json!(null))
+                .await
+                .unwrap();
+            answer.json()["versions"]["drafter@2"]["stage"].clone()
+        };
+        rig.until("the new version is halted", || async {
+            for vm in 0..3 {
+                let answer = rig.chat(vm, "order", false).await.unwrap();
+                assert_eq!(answer.status, 200, "work goes on: {answer:?}");
+            }
+            !catalogue().await["halted"].is_null()
+        })
+        .await;
+        let exposed = rig.engines[2].prompts().len();
+        assert!(exposed <= 40, "{exposed} callers exposed");
+    });
+}
--- /dev/null
+++ b/papayatrayd/tests/faults/rig.rs
@@ -0,0 +1,343 @@
+//! Small site with engines, a service and an organisation, for one test.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::Duration;
+use std::time::Instant;
+
+use http_types::Method;
+use papayatray_standin::Announcer;
+use papayatray_standin::Answer;
+use papayatray_standin::CallError;
+use papayatray_standin::Engine;
+use papayatray_standin::EngineOptions;
+use papayatray_standin::Facts;
+use papayatray_standin::OPERATOR_KEY;
+use papayatray_standin::PLATFORM_KEY;
+use papayatray_standin::PlainService;
+use papayatray_standin::Program;
+use papayatray_standin::Site;
+use papayatray_standin::call;
+use serde_json::Value;
+use serde_json::json;
+use smol::Timer;
+
+/// Key of the test's organisation.
+pub const KEY: &str = "key-of-the-mill";
+/// Data centres of the site.
+const DATA_CENTRES: [&str; 3] = ["aviles", "gijon", "oviedo"];
+/// Longest wait for anything to come about.
+pub const LIMIT: Duration = Duration::from_secs(30);
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Site with what stands behind it.
+pub struct Rig {
+    pub site: Site,
+    pub engines: Vec<Engine>,
+    pub service: PlainService,
+    pub announcers: Vec<Announcer>,
+}
+
+impl Rig {
+    /// Starts `vms` daemons and `engines` engines that serve `drafter@1`.
+    pub async fn start(name: &str, vms: usize, engines: usize) -> Self {
+        let site = Self::layout(name, vms);
+        Self::start_on(site, engines, EngineOptions::default()).await
+    }
+
+    /// Lays out a site without starting it.
+    pub fn layout(name: &str, vms: usize) -> Site {
+        let path = env!("CARGO_BIN_EXE_papayatrayd").into();
+        let program = Program {
+            path,
+            arguments: Vec::new(),
+        };
+        let extra = "hold = \"300ms\"\nprogress = \"500ms\"\ntraced = 1000";
+        Site::new(program, name, vms, &DATA_CENTRES, extra).unwrap()
+    }
+
+    pub async fn start_on(mut site: Site, engines: usize, options: EngineOptions) -> Self {
+        site.start_all().unwrap();
+        let all: Vec<usize> = (0..site.vms().len()).collect();
+        site.wait_ready(&all, LIMIT).await.unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let service = PlainService::start(any, Duration::from_millis(5))
+            .await
+            .unwrap();
+        let announcers = Vec::new();
+        let mut rig = Self {
+            site,
+            engines: Vec::new(),
+            service,
+            announcers,
+        };
+        rig.configure().await;
+        for number in 0..engines {
+            rig.add_engine(number, "drafter@1", options.clone()).await;
+        }
+        let facts = Facts {
+            id: "pedidos-1".to_owned(),
+            address: rig.service.address(),
+            data_centre: DATA_CENTRES[0].to_owned(),
+            versions: Vec::new(),
+            service: Some("pedidos-app".to_owned()),
+            slots: 16,
+        };
+        rig.announce(facts);
+        rig.wait_endpoints(engines + 1).await;
+        rig
+    }
+
+    pub async fn add_engine(&mut self, number: usize, version: &str, options: EngineOptions) {
+        let versions = [version.to_owned()].into();
+        let engine = Engine::start(EngineOptions {
+            versions,
+            ..options
+        })
+        .await
+        .unwrap();
+        let facts = Facts {
+            id: format!("engine-{number}"),
+            address: engine.address(),
+            data_centre: DATA_CENTRES[number % 3].to_owned(),
+            versions: vec![version.to_owned()],
+            service: None,
+            slots: 8,
+        };
+        self.announce(facts);
+        self.engines.push(engine);
+    }
+
+    fn announce(&mut self, facts: Facts) {
+        self.announcers
+            .push(Announcer::start(facts, self.site.callers(), PLATFORM_KEY));
+    }
+
+    async fn configure(&self) {
+        let hash = |key: &str| {
+            // The operators' tool does this for people; the test spells it out.
+            blake3::hash(key.as_bytes()).to_hex().to_string()
+        };
+        let edits = json!([
+            {"declare-version": {"version": "drafter@1", "price_in": 10, "price_out": 20, "prior": 900}},
+            {"offer": {"version": "drafter@1"}},
+            {"declare-service": {"service": "pedidos-app", "about": {"repeatable": ["PUT"], "price": 3}}},
+            {"create-organisation": {"organisation": "mill", "class": "paying"}},
+            {"set-grants": {"organisation": "mill", "grants": [{"model": "drafter"}]}},
+            {"add-key": {"organisation": "mill", "label": "first", "hash": hash(KEY)}},
+        ]);
+        let revision = self.change_at(0, "first", 0, edits).await.unwrap();
+        self.wait_in_force(revision).await;
+    }
+
+    /// Sends a change under its own id; returns the revision, or the outcome that it got.
+    pub async fn change_at(
+        &self,
+        vm: usize,
+        id: &str,
+        base: u64,
+        edits: Value,
+    ) -> Result<u64, String> {
+        let body = json!({"id": id, "base": base, "why": "test", "edits": edits});
+        let begin = Instant::now();
+        loop {
+            let answer = self.operate(vm, Method::Post, "changes", &body).await;
+            match answer {
+                Ok(answer) if answer.status == 200 => {
+                    let outcome = &answer.json()["outcome"];
+                    return outcome["accepted"]
+                        .as_u64()
+                        .ok_or_else(|| outcome.to_string());
+                }
+                _ if begin.elapsed() < LIMIT => drop(Timer::after(PAUSE).await),
+                other => return Err(format!("{other:?}")),
+            }
+        }
+    }
+
+    pub async fn operate(
+        &self,
+        vm: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Result<Answer, CallError> {
+        let bearer = format!("Bearer {OPERATOR_KEY}");
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("content-type", "application/json"),
+        ];
+        let path = format!("/operator/v1/{path}");
+        let address = self.site.vms()[vm].caller;
+        call(
+            address,
+            method,
+            &path,
+            &headers,
+            body.to_string().into_bytes(),
+        )
+        .await
+    }
+
+    /// Returns what the leader tells of the deployment, asked for at a VM.
+    pub async fn leader_status(&self, vm: usize) -> Option<Value> {
+        let answer = self
+            .operate(vm, Method::Get, "status", &Value::Null)
+            .await
+            .ok()?;
+        let all = answer.json();
+        let is_leader = |s: &&Value| s["role"] == "leader" && !s["in_force"].is_null();
+        all.as_array()?.iter().find(is_leader).cloned()
+    }
+
+    /// Returns the number of the VM that leads, as seen from a VM.
+    pub async fn leader(&self, vm: usize) -> Option<usize> {
+        let status = self.leader_status(vm).await?;
+        self.site
+            .vms()
+            .iter()
+            .position(|own| status["vm"] == own.name.as_str())
+    }
+
+    pub async fn wait_in_force(&self, revision: u64) -> Duration {
+        let begin = Instant::now();
+        self.until("in force", || async {
+            let status = self.any_status().await;
+            status.is_some_and(|s| s["in_force"].as_u64() >= Some(revision))
+        })
+        .await;
+        begin.elapsed()
+    }
+
+    async fn any_status(&self) -> Option<Value> {
+        for vm in 0..self.site.vms().len() {
+            if let Some(status) = self.leader_status(vm).await {
+                return Some(status);
+            }
+        }
+        None
+    }
+
+    pub async fn wait_endpoints(&self, count: usize) {
+        for vm in 0..self.site.vms().len() {
+            self.until("endpoints known everywhere", || async {
+                let answer = self
+                    .operate(vm, Method::Get, "endpoints", &Value::Null)
+                    .await;
+                answer.is_ok_and(|a| a.json().as_array().map_or(0, Vec::len) >= count)
+            })
+            .await;
+        }
+    }
+
+    /// Waits until a condition holds.
+    pub async fn until<F, Fut>(&self, what: &str, condition: F)
+    where
+        F: Fn() -> Fut,
+        Fut: Future<Output = bool>,
+    {
+        let begin = Instant::now();
+        while !condition().await {
+            assert!(begin.elapsed() < LIMIT, "not in time: {what}");
+            Timer::after(PAUSE).await;
+        }
+    }
+
+    pub async fn chat(&self, vm: usize, prompt: &str, stream: bool) -> Result<Answer, CallError> {
+        self.chat_with(vm, prompt, stream, &[]).await
+    }
+
+    pub async fn chat_with(
+        &self,
+        vm: usize,
+        prompt: &str,
+        stream: bool,
+        headers: &[(&str, &str)],
+    ) -> Result<Answer, CallError> {
+        chat(self.site.vms()[vm].caller, prompt, stream, headers).await
+    }
+
+    pub async fn serve(
+        &self,
+        vm: usize,
+        method: Method,
+        id: &str,
+        body: &str,
+    ) -> Result<Answer, CallError> {
+        serve(self.site.vms()[vm].caller, method, id, body).await
+    }
+
+    /// Returns the bills of single requests, by the request's name.
+    pub async fn bills(&self, vm: usize) -> Vec<String> {
+        let answer = self
+            .operate(vm, Method::Get, "bills?lines=1", &Value::Null)
+            .await
+            .unwrap();
+        let lines = answer.json()["lines"]
+            .as_array()
+            .cloned()
+            .unwrap_or_default();
+        lines
+            .iter()
+            .map(|line| line["key"]["request"].as_str().unwrap().to_owned())
+            .collect()
+    }
+
+    /// Sends a signal to the daemon of a VM.
+    pub fn signal(&self, vm: usize, signal: &str) {
+        let process = self.site.process(vm).unwrap().to_string();
+        let status = Command::new("kill")
+            .args([signal, &process])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+}
+
+/// Sends a chat to an entry.
+pub async fn chat(
+    entry: SocketAddr,
+    prompt: &str,
+    stream: bool,
+    headers: &[(&str, &str)],
+) -> Result<Answer, CallError> {
+    let body = json!({
+        "model": "auto",
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": stream,
+    });
+    let bearer = format!("Bearer {KEY}");
+    let mut all = vec![
+        ("authorization", bearer.as_str()),
+        ("content-type", "application/json"),
+    ];
+    all.extend_from_slice(headers);
+    call(
+        entry,
+        Method::Post,
+        "/v1/chat/completions",
+        &all,
+        body.to_string().into_bytes(),
+    )
+    .await
+}
+
+/// Calls the plain service through an entry.
+pub async fn serve(
+    entry: SocketAddr,
+    method: Method,
+    id: &str,
+    body: &str,
+) -> Result<Answer, CallError> {
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str()), ("idempotency-key", id)];
+    let path = "/v1/services/pedidos-app/orders";
+    call(entry, method, path, &headers, body.as_bytes().to_vec()).await
+}
+
+/// Returns the answer that an engine gives to a prompt.
+pub fn answer_to(word: &str, tokens: usize) -> String {
+    let words: Vec<String> = (0..tokens).map(|n| format!("{word}:{n} ")).collect();
+    words.concat()
+}
--- /dev/null
+++ b/papayatrayd/tests/faults/settings.rs
@@ -0,0 +1,134 @@
+//! Settings with a fault are told in one line, before any socket opens.
+
+use std::process::Command;
+
+use papayatrayd::settings::Settings;
+use proptest::proptest;
+
+const SOUND: &str = r#"
+vm = "vm-1"
+data_centre = "aviles"
+peer_address = "127.0.0.1:7001"
+cluster_secret = "sixteen bytes or more"
+[replicas]
+vm-1 = "127.0.0.1:7001"
+vm-2 = "127.0.0.1:7002"
+vm-3 = "127.0.0.1:7003"
+[entry]
+caller_address = "127.0.0.1:8001"
+"#;
+
+fn fault(from: &str, to: &str) -> String {
+    let text = SOUND.replace(from, to);
+    assert_ne!(text, SOUND);
+    Settings::parse("site.toml", &text)
+        .expect_err("a fault")
+        .to_string()
+}
+
+#[test]
+fn each_fault_names_file_key_value_and_what_is_wanted() {
+    assert!(Settings::parse("site.toml", SOUND).is_ok());
+    let cases = [
+        ("[entry]", "[entry]\nspeed = 3", ["speed", "unknown field"]),
+        (
+            "[entry]",
+            "[entry]\nhold = \"3 parsecs\"",
+            ["entry.hold", "a time with its unit"],
+        ),
+        (
+            "[entry]",
+            "[entry]\nhold = \"0ms\"",
+            ["entry.hold", "from 10 to"],
+        ),
+        (
+            "[entry]",
+            "[entry]\nbody = \"1 MB\"",
+            ["entry.body", "a size with its unit"],
+        ),
+        (
+            "127.0.0.1:8001",
+            "127.0.0.1:7002",
+            ["127.0.0.1:7002", "replicas.vm-2 has this one"],
+        ),
+        ("vm-3 = \"127.0.0.1:7003\"", "", ["2 entries", "odd number"]),
+        (
+            "vm-3",
+            "vm-4 = \"127.0.0.1:7004\"\nvm-3",
+            ["4 entries", "odd number"],
+        ),
+        (
+            "peer_address = \"127.0.0.1:7001\"",
+            "peer_address = \"nowhere\"",
+            ["peer_address", "nowhere"],
+        ),
+        ("vm = \"vm-1\"", "vm = \"vm 1\"", ["vm", "letters, digits"]),
+        (
+            "sixteen bytes or more",
+            "short",
+            ["cluster_secret", "at least 16 bytes"],
+        ),
+        (
+            "[entry]\ncaller_address = \"127.0.0.1:8001\"",
+            "",
+            ["(roles)", "a table [entry]"],
+        ),
+        (
+            "[entry]",
+            "[control]\ndata_folder = \"/no/such/folder\"\n[entry]",
+            ["control.data_folder", "a folder that exists"],
+        ),
+        (
+            "[entry]",
+            "[log]\nlevel = \"loud\"\n[entry]",
+            ["log.level", "error, warn, info or debug"],
+        ),
+        ("[replicas]", "[replicas", ["(line", "wanted is"]),
+    ];
+    for (from, to, parts) in cases {
+        let line = fault(from, to);
+        assert!(line.starts_with("site.toml: "), "{line}");
+        assert!(!line.contains('\n'), "{line}");
+        for part in parts {
+            assert!(line.contains(part), "{part:?} is missing in: {line}");
+        }
+    }
+}
+
+#[test]
+fn secret_is_not_shown_in_a_fault() {
+    let line = fault("\"sixteen bytes or more\"", "123456789");
+    assert!(!line.contains("123456789"), "{line}");
+    let settings = Settings::parse("site.toml", SOUND).unwrap();
+    assert!(!format!("{settings:?}").contains("sixteen"));
+}
+
+#[test]
+fn check_tells_by_its_exit_code() {
+    let path = std::env::temp_dir().join(format!("papayatray-check-{}.toml", std::process::id()));
+    for (text, code) in [(SOUND.to_owned(), 0), (SOUND.replace("vm-3", "vm-2"), 2)] {
+        std::fs::write(&path, text).unwrap();
+        let output = Command::new(env!("CARGO_BIN_EXE_papayatrayd"))
+            .arg("--check")
+            .arg(&path)
+            .output()
+            .unwrap();
+        assert_eq!(output.status.code(), Some(code), "{output:?}");
+        let lines = String::from_utf8_lossy(&output.stderr).lines().count();
+        assert_eq!(lines, usize::from(code != 0));
+    }
+    std::fs::remove_file(&path).unwrap();
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_read_without_a_panic(text in "\\PC{0,200}", cut in 0..220_usize) {
+        let at = cut.min(SOUND.len());
+        let mixed = format!("{}{text}{}", &SOUND[..at], &SOUND[at..]);
+        for text in [text, mixed] {
+            if let Err(error) = Settings::parse("site.toml", &text) {
+                assert!(!error.to_string().contains('\n'), "{error}");
+            }
+        }
+    }
+}
