bench: measure relay, log, recovery, propagation, state and decisions against stated bounds

Cause: no figure stood beside any target. Change: one command with bounds in bounds.toml, JSON lines and SVG plots; exploration of cheap versions, a guard against flat ratings, a reserve that follows what paying requests lately needed.

--- /dev/null
+++ b/papayatray_bench/src/log.rs
@@ -0,0 +1,182 @@
+//! Log: commands a second on three replicas with real disks, batched and one at a time.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::fs::File;
+use std::io::Write;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use papayatray_core::clock::Millis;
+use papayatray_core::id::Incarnation;
+use papayatray_core::id::VmId;
+use papayatray_state::node::Node;
+use papayatray_state::storage::FolderDisk;
+use papayatray_state::storage::open_folder;
+
+use crate::report::Report;
+use crate::report::percentile;
+use crate::state::bill;
+
+/// Time over which each way is measured.
+const SPAN: Duration = Duration::from_secs(3);
+/// Commands that wait at once in the batched way.
+const BATCH: u64 = 256;
+
+/// Three replicas on one disk, driven in turn.
+struct Trio {
+    nodes: Vec<Node<FolderDisk>>,
+    folder: PathBuf,
+    begin: Instant,
+    next: u64,
+}
+
+impl Trio {
+    fn new(name: &str) -> Result<Self, Box<dyn Error>> {
+        let folder = std::env::temp_dir().join(format!("papayatray-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let mut founders = BTreeMap::new();
+        for number in 0..3 {
+            let vm = VmId::new(format!("vm-{number}"))?;
+            founders.insert(vm.clone(), vm.to_string());
+        }
+        let mut nodes = Vec::new();
+        for (number, vm) in (1..).zip(founders.keys()) {
+            let path = folder.join(vm.as_str());
+            std::fs::create_dir_all(&path)?;
+            let opened = open_folder(&path, vm, Incarnation(number))?;
+            let now = Millis::new(1_000_000);
+            let address = vm.to_string();
+            let mut node = Node::new(
+                opened.id,
+                &address,
+                opened.store,
+                opened.loaded,
+                number * 77,
+                now,
+            )?;
+            node.set_founders(founders.clone(), None);
+            nodes.push(node);
+        }
+        let mut trio = Self {
+            nodes,
+            folder,
+            begin: Instant::now(),
+            next: 0,
+        };
+        while trio.leader().is_none() {
+            trio.round();
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        Ok(trio)
+    }
+
+    fn now(&self) -> Millis {
+        let passed = u64::try_from(self.begin.elapsed().as_millis()).unwrap_or(u64::MAX);
+        Millis::new(1_000_000) + Millis::new(passed)
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let now = self.now();
+        self.nodes
+            .iter()
+            .position(|node| node.replica().is_current(now))
+    }
+
+    /// Lets each node take a turn, and hands all messages over; returns how many replies came.
+    fn round(&mut self) -> usize {
+        let now = self.now();
+        let mut messages = Vec::new();
+        let mut replies = 0;
+        for node in &mut self.nodes {
+            let turn = node.turn(now);
+            messages.extend(turn.messages);
+            replies += turn
+                .replies
+                .iter()
+                .filter(|(_, result)| result.is_ok())
+                .count();
+        }
+        for envelope in messages {
+            let to = self
+                .nodes
+                .iter_mut()
+                .find(|node| node.replica().id().vm == envelope.to.vm);
+            if let Some(node) = to {
+                node.receive(now, envelope);
+            }
+        }
+        replies
+    }
+
+    /// Commits commands, `batch` at a time; returns commands a second and their times.
+    fn commit(&mut self, batch: u64) -> (f64, Vec<f64>) {
+        let begin = Instant::now();
+        let mut times = Vec::new();
+        let mut count = 0;
+        while begin.elapsed() < SPAN {
+            let Some(leader) = self.leader() else {
+                self.round();
+                continue;
+            };
+            let sent = Instant::now();
+            for _ in 0..batch {
+                self.next += 1;
+                let command = bill(self.next);
+                self.nodes[leader].propose(self.next, command, Millis::new(self.next));
+            }
+            let mut replies = 0;
+            while replies < batch {
+                replies += self.round() as u64;
+            }
+            count += batch;
+            times.push(sent.elapsed().as_secs_f64() * 1_000.0);
+        }
+        (count as f64 / begin.elapsed().as_secs_f64(), times)
+    }
+}
+
+impl Drop for Trio {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub(crate) fn run(report: &mut Report) -> Result<(), Box<dyn Error>> {
+    let (plain, mut plain_times) = plain_syncs()?;
+    report.add("log", "plain_sync_per_second", plain);
+    report.add(
+        "log",
+        "plain_sync_p95_ms",
+        percentile(&mut plain_times, 0.95),
+    );
+    let mut trio = Trio::new("log")?;
+    let (single, mut times) = trio.commit(1);
+    report.add("log", "single_per_second", single);
+    report.add("log", "single_p50_ms", percentile(&mut times, 0.5));
+    report.add("log", "single_p95_ms", percentile(&mut times, 0.95));
+    let (batched, mut times) = trio.commit(BATCH);
+    report.add("log", "batched_per_second", batched);
+    report.add("log", "batched_p95_ms", percentile(&mut times, 0.95));
+    report.add("log", "batched_over_single", batched / single);
+    report.add("log", "single_over_plain", single / plain);
+    Ok(())
+}
+
+/// Appends and syncs one record at a time, with nothing else.
+fn plain_syncs() -> Result<(f64, Vec<f64>), Box<dyn Error>> {
+    let path = std::env::temp_dir().join(format!("papayatray-plain-{}", std::process::id()));
+    let mut file = File::create(&path)?;
+    let begin = Instant::now();
+    let mut times = Vec::new();
+    while begin.elapsed() < SPAN {
+        let sent = Instant::now();
+        file.write_all(&[7; 100])?;
+        file.sync_data()?;
+        times.push(sent.elapsed().as_secs_f64() * 1_000.0);
+    }
+    let rate = times.len() as f64 / begin.elapsed().as_secs_f64();
+    std::fs::remove_file(path)?;
+    Ok((rate, times))
+}
--- /dev/null
+++ b/papayatray_bench/src/main.rs
@@ -0,0 +1,103 @@
+//! Benchmarks of papayatray, held against the bounds in `bounds.toml`.
+//!
+//! Each prints a line a measure and, with `--json FILE`, adds them to a file as JSON lines.
+
+mod bounds;
+mod daemons;
+mod decisions;
+mod log;
+mod plot;
+mod propagation;
+mod relay;
+mod report;
+mod state;
+
+use std::process::Command;
+use std::process::ExitCode;
+
+use self::report::Report;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs benchmarks of papayatray.
+        ///
+        /// Exit codes: 0 all bounds hold; 1 a bound is broken or a run failed.
+        cmd bench {
+            /// decisions, relay, idle, log, recovery, propagation, state or all.
+            optional name: String
+            /// File to which each measure is added as a JSON line.
+            optional --json json: PathBuf
+            /// Folder into which plots are written as SVG.
+            optional --plots plots: PathBuf
+            /// Runs a daemon of a site that a benchmark starts.
+            optional --daemon daemon: PathBuf
+        }
+    }
+}
+
+/// Variable that sets how many threads the stand-ins and callers run on.
+const THREADS: &str = "SMOL_THREADS";
+/// Threads of the stand-ins and callers.
+const THREAD_COUNT: &str = "3";
+
+fn main() -> ExitCode {
+    let flags = flags::Bench::from_env_or_exit();
+    if let Some(settings) = &flags.daemon {
+        return daemons::run(settings);
+    }
+    if std::env::var_os(THREADS).is_none() {
+        return again_with_threads();
+    }
+    let name = flags.name.as_deref().unwrap_or("all");
+    let mut report = Report::new(flags.json, flags.plots);
+    let outcome = smol::block_on(run(name, &mut report));
+    if let Err(error) = outcome {
+        eprintln!("bench: {error}");
+        return ExitCode::FAILURE;
+    }
+    report.finish()
+}
+
+/// Runs this program again with the variable that only the start of a process can set.
+fn again_with_threads() -> ExitCode {
+    let program = std::env::current_exe();
+    let status = program.and_then(|program| {
+        Command::new(program)
+            .args(std::env::args_os().skip(1))
+            .env(THREADS, THREAD_COUNT)
+            .status()
+    });
+    match status {
+        Ok(status) if status.success() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(name: &str, report: &mut Report) -> Result<(), Box<dyn std::error::Error>> {
+    match name {
+        "decisions" => decisions::run(report),
+        "relay" => relay::run(report).await?,
+        "idle" => daemons::idle(report).await?,
+        "log" => log::run(report)?,
+        "recovery" => state::recovery(report)?,
+        "propagation" => propagation::run(report).await?,
+        "state" => state::memory(report)?,
+        "all" => {
+            decisions::run(report);
+            state::memory(report)?;
+            state::recovery(report)?;
+            log::run(report)?;
+            propagation::run(report).await?;
+            daemons::idle(report).await?;
+            relay::run(report).await?;
+        }
+        other => return Err(format!("no benchmark is called {other}").into()),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/papayatray_bench/src/propagation.rs
@@ -0,0 +1,227 @@
+//! Propagation: from accepted to in force, over nine real entries and, in process, up to 860.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::time::Duration;
+use std::time::Instant;
+
+use papayatray_core::catalogue::Class;
+use papayatray_core::clock::Millis;
+use papayatray_core::id::DataCentre;
+use papayatray_core::id::Incarnation;
+use papayatray_core::id::Term;
+use papayatray_core::id::VmId;
+use papayatray_core::lease::EntryInfo;
+use papayatray_state::machine::Command;
+use papayatray_state::machine::Machine;
+use papayatray_state::machine::Stamped;
+use papayatray_state::replica::Members;
+use papayatray_wire::peer::Renew;
+use papayatray_wire::peer::Renewed;
+use papayatrayd::control::Lead;
+use papayatrayd::entry::View;
+use serde_json::json;
+use smol::Timer;
+
+use crate::daemons::change;
+use crate::daemons::start_site;
+use crate::daemons::wait_in_force;
+use crate::plot::Curve;
+use crate::report::Report;
+use crate::report::percentile;
+use crate::state::class_change;
+use crate::state::organisations;
+
+/// Changes that are timed over real entries.
+const CHANGES: u64 = 30;
+/// Numbers of entries in process.
+const SIZES: [usize; 5] = [9, 30, 100, 300, 860];
+/// Seconds that are played in process, with a change in each.
+const SECONDS: u64 = 10;
+/// Time for which the leader holds a renewal while nothing is new, in milliseconds.
+const HOLD: u64 = 700;
+
+pub(crate) async fn run(report: &mut Report) -> Result<(), Box<dyn Error>> {
+    over_sockets(report).await?;
+    let mut bytes = Vec::new();
+    let mut cores = Vec::new();
+    for size in SIZES {
+        let cost = play(size)?;
+        report.add(
+            "propagation",
+            &format!("entry_bytes_per_second_at_{size}"),
+            cost.bytes,
+        );
+        report.add(
+            "propagation",
+            &format!("entry_messages_per_second_at_{size}"),
+            cost.messages,
+        );
+        report.add(
+            "propagation",
+            &format!("leader_core_percent_at_{size}"),
+            cost.leader,
+        );
+        bytes.push((size as f64, cost.bytes));
+        cores.push((size as f64, cost.leader));
+    }
+    let slope = (cores[4].1 - cores[0].1) / (cores[4].0 - cores[0].0);
+    report.add("propagation", "leader_core_percent_per_entry", slope);
+    let axes = ("entries", "bytes a second and entry");
+    let curve = Curve {
+        name: "bytes".to_owned(),
+        points: bytes,
+    };
+    report.plot("propagation-bytes", "Traffic of one entry", axes, &[curve]);
+    let axes = ("entries", "percent of a core");
+    let curve = Curve {
+        name: "leader".to_owned(),
+        points: cores,
+    };
+    report.plot(
+        "propagation-leader",
+        "Leader, one change a second",
+        axes,
+        &[curve],
+    );
+    Ok(())
+}
+
+/// Times changes over nine entries as processes of their own.
+async fn over_sockets(report: &mut Report) -> Result<(), Box<dyn Error>> {
+    let site = start_site("propagation", 9).await?;
+    let mut times = Vec::new();
+    for base in 0..CHANGES {
+        let edits = json!([{"create-organisation": {"organisation": format!("o{base}"), "class": "trial"}}]);
+        let revision = change(&site, base, edits).await?;
+        let accepted = Instant::now();
+        wait_in_force(&site, revision).await?;
+        if base >= 3 {
+            times.push(accepted.elapsed().as_secs_f64() * 1_000.0);
+        }
+        Timer::after(Duration::from_millis(50)).await;
+    }
+    report.add(
+        "propagation",
+        "in_force_p50_ms",
+        percentile(&mut times, 0.5),
+    );
+    report.add(
+        "propagation",
+        "in_force_p95_ms",
+        percentile(&mut times, 0.95),
+    );
+    Ok(())
+}
+
+/// Cost of one second.
+struct Cost {
+    bytes: f64,
+    messages: f64,
+    leader: f64,
+}
+
+/// Plays some seconds of a leader and its entries, with a change in each second.
+fn play(size: usize) -> Result<Cost, Box<dyn Error>> {
+    let mut machine = Machine::default();
+    let mut lead = Lead::new(Term(1), Millis::ZERO);
+    let members = Members::default();
+    let command = Command::Configure(organisations(100));
+    machine.apply(&Stamped {
+        at: Millis::ZERO,
+        command,
+    });
+    let mut entries: Vec<(EntryInfo, View)> = (0..size)
+        .map(|number| (info(number), View::default()))
+        .collect();
+    exchange(&mut lead, &machine, &members, &mut entries, Millis::new(1))?;
+    let (mut bytes, mut messages, mut spent) = (0, 0, Duration::ZERO);
+    for second in 0..SECONDS {
+        let now = Millis::from_secs(second + 1);
+        let base = machine.catalogue().revision.0;
+        let begin = Instant::now();
+        let command = Command::Configure(class_change_of(base));
+        machine.apply(&Stamped { at: now, command });
+        spent += begin.elapsed();
+        // One round tells of the change, one acknowledges it, and the rest of the second passes
+        // in renewals that find nothing new.
+        let rounds = 2 + 1_000 / HOLD;
+        for round in 0..rounds {
+            let at = now + Millis::new(round * 10);
+            let (sent, took) = exchange(&mut lead, &machine, &members, &mut entries, at)?;
+            bytes += sent;
+            messages += 2 * size;
+            spent += took;
+        }
+    }
+    let seconds = SECONDS as f64;
+    Ok(Cost {
+        bytes: bytes as f64 / size as f64 / seconds,
+        messages: messages as f64 / size as f64 / seconds,
+        leader: spent.as_secs_f64() / seconds * 100.0,
+    })
+}
+
+fn class_change_of(base: u64) -> papayatray_core::catalogue::Change {
+    let mut change = class_change(base);
+    if let Some(papayatray_core::catalogue::Edit::SetClass {
+        organisation,
+        class,
+    }) = change.edits.first_mut()
+    {
+        // Only the first hundred organisations stand here.
+        let number = base % 100;
+        if let Ok(name) = format!("organisation-{number}").parse() {
+            *organisation = name;
+        }
+        *class = if (base / 100).is_multiple_of(2) {
+            Class::Trial
+        } else {
+            Class::Paying
+        };
+    }
+    change
+}
+
+fn info(number: usize) -> EntryInfo {
+    EntryInfo {
+        vm: VmId::new(format!("vm-{number}")).expect("a name"),
+        incarnation: Incarnation(1),
+        data_centre: DataCentre::new("palermo-a").expect("a name"),
+        caller_address: format!("10.0.{}.{}:8000", number / 250, number % 250),
+        peer_address: format!("10.0.{}.{}:7000", number / 250, number % 250),
+        draining: false,
+    }
+}
+
+/// Renews all entries once; returns the bytes, and the time that the leader spent.
+fn exchange(
+    lead: &mut Lead,
+    machine: &Machine,
+    members: &Members,
+    entries: &mut [(EntryInfo, View)],
+    now: Millis,
+) -> Result<(usize, Duration), Box<dyn Error>> {
+    let (mut bytes, mut spent) = (0, Duration::ZERO);
+    for (info, view) in entries {
+        let renew = Renew {
+            info: info.clone(),
+            seen: view.seen,
+            tallies: BTreeMap::new(),
+            evidence: None,
+            billed: 0,
+        };
+        let asked = serde_json::to_string(&renew)?;
+        let begin = Instant::now();
+        let renew: Renew = serde_json::from_str(&asked)?;
+        lead.renew(&renew, now);
+        lead.tend(machine, now);
+        let answer = serde_json::to_string(&lead.answer(&renew, machine, members, now))?;
+        spent += begin.elapsed();
+        bytes += asked.len() + answer.len();
+        let renewed: Renewed = serde_json::from_str(&answer)?;
+        let next = view.renewed(&renewed);
+        *view = next.ok_or("a renewal that does not fit")?;
+    }
+    Ok((bytes, spent))
+}
--- /dev/null
+++ b/papayatray_bench/src/state.rs
@@ -0,0 +1,283 @@
+//! State: memory at the target's size, and recovery after many changes.
+
+use std::error::Error;
+use std::time::Duration;
+use std::time::Instant;
+
+use papayatray_core::catalogue::Change;
+use papayatray_core::catalogue::ChangeBook;
+use papayatray_core::catalogue::Class;
+use papayatray_core::catalogue::Edit;
+use papayatray_core::clock::Millis;
+use papayatray_core::id::ChangeId;
+use papayatray_core::id::Incarnation;
+use papayatray_core::id::KeyHash;
+use papayatray_core::id::OperatorId;
+use papayatray_core::id::OrganisationId;
+use papayatray_core::id::RequestId;
+use papayatray_core::id::RequestKey;
+use papayatray_core::id::Revision;
+use papayatray_core::id::Term;
+use papayatray_core::id::VmId;
+use papayatray_core::ledger::Bill;
+use papayatray_state::machine::Command;
+use papayatray_state::machine::Machine;
+use papayatray_state::machine::Stamped;
+use papayatray_state::node::Node;
+use papayatray_state::replica::Entry;
+use papayatray_state::replica::HardState;
+use papayatray_state::replica::Members;
+use papayatray_state::replica::Payload;
+use papayatray_state::replica::Position;
+use papayatray_state::replica::Ready;
+use papayatray_state::replica::Snapshot;
+use papayatray_state::storage::open_folder;
+
+use crate::plot::Curve;
+use crate::report::Report;
+
+/// Organisations at the target.
+const ORGANISATIONS: u64 = 10_000;
+/// Changes of a day at the target.
+const CHANGES: u64 = 88_000;
+/// Kibibytes of a mebibyte.
+const KIB_PER_MIB: f64 = 1_024.0;
+
+/// Returns the bill of request `number`.
+pub(crate) fn bill(number: u64) -> Command {
+    Command::Bill(vec![Bill {
+        key: RequestKey {
+            organisation: name("mill"),
+            request: RequestId::new(format!("request-{number}")).expect("a name"),
+        },
+        subject: "drafter@1".to_owned(),
+        tokens_in: 100,
+        tokens_out: 200,
+        cost: 300,
+        entry: VmId::new("vm-1").expect("a name"),
+    }])
+}
+
+fn name(text: &str) -> OrganisationId {
+    OrganisationId::new(text).expect("a name")
+}
+
+/// Returns a change that keeps the catalogue's size.
+pub(crate) fn class_change(base: u64) -> Change {
+    let class = if base.is_multiple_of(2) {
+        Class::Paying
+    } else {
+        Class::Trial
+    };
+    let organisation = name(&format!("organisation-{}", base % ORGANISATIONS));
+    change(
+        base,
+        Edit::SetClass {
+            organisation,
+            class,
+        },
+    )
+}
+
+fn change(base: u64, edit: Edit) -> Change {
+    Change {
+        id: ChangeId::new(format!("change-{base}")).expect("a name"),
+        base: Revision(base),
+        author: OperatorId::new("operator").expect("a name"),
+        why: "bench".to_owned(),
+        edits: vec![edit],
+    }
+}
+
+/// Returns the change that creates an organisation with a key, for each of `count`.
+pub(crate) fn organisations(count: u64) -> Change {
+    let mut all = change(
+        0,
+        Edit::CreateOrganisation {
+            organisation: name("x"),
+            class: Class::Trial,
+        },
+    );
+    all.edits.clear();
+    for number in 0..count {
+        let organisation = name(&format!("organisation-{number}"));
+        all.edits.push(Edit::CreateOrganisation {
+            organisation: organisation.clone(),
+            class: Class::Paying,
+        });
+    }
+    for number in 0..count.min(200) {
+        all.edits.push(Edit::AddKey {
+            organisation: name(&format!("organisation-{number}")),
+            label: "first".to_owned(),
+            hash: KeyHash::new(format!("{number:064x}")),
+        });
+    }
+    all
+}
+
+/// Measures the memory of the configuration at the target's size.
+pub(crate) fn memory(report: &mut Report) -> Result<(), Box<dyn Error>> {
+    let before = resident();
+    let mut book = ChangeBook::default();
+    book.decide(&organisations(ORGANISATIONS), Millis::ZERO);
+    let begin = Instant::now();
+    let timed = 2_000;
+    for base in 1..=timed {
+        book.decide(&class_change(base), Millis::ZERO);
+    }
+    let each = begin.elapsed().as_secs_f64() * 1_000.0 / timed as f64;
+    for base in timed + 1..=CHANGES.min(20_000) {
+        book.decide(&class_change(base), Millis::ZERO);
+    }
+    let after = resident();
+    report.add("state", "memory_mib", (after - before) / KIB_PER_MIB);
+    report.add("state", "change_ms_at_10000_organisations", each);
+    let bytes = postcard::to_stdvec(&book)?.len();
+    report.add("state", "snapshot_mib", bytes as f64 / f64::from(1 << 20));
+    Ok(())
+}
+
+fn resident() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .unwrap_or_default();
+    line.split_whitespace()
+        .nth(1)
+        .and_then(|f| f.parse().ok())
+        .unwrap_or(0.0)
+}
+
+/// Measures the time to open a folder after 1 to 100,000 changes.
+pub(crate) fn recovery(report: &mut Report) -> Result<(), Box<dyn Error>> {
+    let mut points = Vec::new();
+    let cases = [
+        (1, "one_ms"),
+        (100, "hundred_ms"),
+        (1_000, "thousand_ms"),
+        (100_000, "hundred_thousand_ms"),
+    ];
+    for (changes, measure) in cases {
+        let took = recover(changes)?;
+        report.add("recovery", measure, took.as_secs_f64() * 1_000.0);
+        points.push((changes as f64, took.as_secs_f64() * 1_000.0));
+    }
+    let curve = Curve {
+        name: "recovery".to_owned(),
+        points,
+    };
+    report.plot("recovery", "Time to recover", ("changes", "ms"), &[curve]);
+    Ok(())
+}
+
+/// Fills a folder through a node, and returns the time to open it again.
+fn recover(changes: u64) -> Result<Duration, Box<dyn Error>> {
+    let path = std::env::temp_dir().join(format!("papayatray-recovery-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path)?;
+    let vm = VmId::new("vm-1")?;
+    fill(&path, &vm, changes)?;
+    let begin = Instant::now();
+    let opened = open_folder(&path, &vm, Incarnation(1))?;
+    let entries = opened.loaded.restored.entries.clone();
+    let now = Millis::new(1_000_000);
+    let node = Node::new(opened.id, "vm-1", opened.store, opened.loaded, 7, now)?;
+    let mut machine: Machine = node.machine().clone();
+    for entry in entries {
+        if let Payload::Command(bytes) = entry.payload {
+            machine.apply(&postcard::from_bytes::<Stamped>(&bytes)?);
+        }
+    }
+    let took = begin.elapsed();
+    let revision = machine.catalogue().revision.0;
+    std::fs::remove_dir_all(&path)?;
+    if revision == changes + 1 {
+        return Ok(took);
+    }
+    Err(format!("revision {revision} after {changes} changes").into())
+}
+
+/// Writes a log as a replica does, with a snapshot each 20,000 entries.
+fn fill(path: &std::path::Path, vm: &VmId, changes: u64) -> Result<(), Box<dyn Error>> {
+    let mut opened = open_folder(path, vm, Incarnation(1))?;
+    let members = Members::founding([(opened.id.clone(), "vm-1".to_owned())]);
+    let mut machine = Machine::default();
+    let founding = Snapshot {
+        position: Position {
+            term: Term(0),
+            index: 1,
+        },
+        members,
+        state: Vec::new(),
+    };
+    let hard = Some(HardState {
+        term: Term(1),
+        vote: None,
+    });
+    opened.store.save(&Ready {
+        hard,
+        install: Some(founding.clone()),
+        ..Ready::default()
+    })?;
+    let mut entries = Vec::new();
+    for index in 2..=changes + 2 {
+        let change = if index == 2 {
+            organisations(100)
+        } else {
+            small_change(index - 2)
+        };
+        let stamped = Stamped {
+            at: Millis::new(index),
+            command: Command::Configure(change),
+        };
+        machine.apply(&stamped);
+        let position = Position {
+            term: Term(1),
+            index,
+        };
+        entries.push(Entry {
+            position,
+            payload: Payload::Command(postcard::to_stdvec(&stamped)?),
+        });
+        let is_last = index == changes + 2;
+        if entries.len() == 500 || is_last {
+            let entries = std::mem::take(&mut entries);
+            opened.store.save(&Ready {
+                entries,
+                ..Ready::default()
+            })?;
+        }
+        if index.is_multiple_of(20_000) {
+            let rest = std::mem::take(&mut entries);
+            opened.store.save(&Ready {
+                entries: rest,
+                ..Ready::default()
+            })?;
+            let snapshot = Snapshot {
+                position,
+                state: machine.to_state()?,
+                ..founding.clone()
+            };
+            opened.store.save_snapshot(&snapshot, index - 2_000)?;
+        }
+    }
+    Ok(())
+}
+
+fn small_change(base: u64) -> Change {
+    let class = if base.is_multiple_of(2) {
+        Class::Paying
+    } else {
+        Class::Trial
+    };
+    let organisation = name(&format!("organisation-{}", base % 100));
+    change(
+        base,
+        Edit::SetClass {
+            organisation,
+            class,
+        },
+    )
+}
--- a/papayatray_core/src/admission.rs
+++ b/papayatray_core/src/admission.rs
@@ -5,8 +5,10 @@
 use crate::catalogue::Class;
 use crate::clock::Millis;
 
-/// Share of a pool's limit that trials leave free for paying requests.
-const RESERVE: f64 = 0.2;
+/// Share of a pool's limit that trials leave free beyond what paying requests lately needed.
+const RESERVE: f64 = 0.1;
+/// Time after which the need of paying requests counts for half.
+const NEED_HALF: f64 = 10_000.0;
 /// Requests that may wait for each one that may run.
 const QUEUE_FACTOR: f64 = 4.0;
 /// Time that a long job waits before it goes ahead of its class.
@@ -68,6 +70,8 @@
     trial: u32,
     queue: VecDeque<Waiting>,
     service: f64,
+    need: f64,
+    need_at: Millis,
 }
 
 impl Gate {
@@ -79,6 +83,8 @@
             trial: 0,
             queue: VecDeque::new(),
             service: FIRST_SERVICE,
+            need: 0.0,
+            need_at: Millis::ZERO,
         }
     }
 
@@ -103,10 +109,10 @@
             .queue
             .iter()
             .any(|w| w.wish.class <= class && w.wish.deadline > now);
-        if !is_first || !self.has_room(class) {
+        if !is_first || !self.has_room(class, now) {
             return false;
         }
-        self.start(class);
+        self.start(class, now);
         true
     }
 
@@ -116,8 +122,8 @@
             .queue
             .iter()
             .any(|w| rank(w, now) <= rank_of(&wish, now, now));
-        if is_first && self.has_room(wish.class) {
-            self.start(wish.class);
+        if is_first && self.has_room(wish.class, now) {
+            self.start(wish.class, now);
             return Admission::Run;
         }
         if self.is_hopeless(&wish, now) {
@@ -157,11 +163,11 @@
         }
         let best = (0..self.queue.len()).min_by_key(|at| rank(&self.queue[*at], now))?;
         let class = self.queue[best].wish.class;
-        if !self.has_room(class) {
+        if !self.has_room(class, now) {
             return None;
         }
         let waiting = self.queue.remove(best)?;
-        self.start(class);
+        self.start(class, now);
         Some(Turn::Run(waiting.wish.ticket))
     }
 
@@ -174,17 +180,41 @@
         wait.clamp(RETRY_LEAST, RETRY_MOST)
     }
 
-    fn has_room(&self, class: Class) -> bool {
+    fn has_room(&self, class: Class, now: Millis) -> bool {
         let running = f64::from(self.running());
         match class {
             Class::Paying => running < self.limit,
-            Class::Trial => running < (self.limit * (1.0 - RESERVE)).max(1.0).min(self.limit),
+            Class::Trial => running < self.trial_limit(now),
         }
     }
 
-    fn start(&mut self, class: Class) {
+    /// Returns up to how many requests a trial may still join.
+    ///
+    /// What paying requests lately needed at once is kept free for them, with some to spare; where
+    /// they need nothing, trials may use nearly all.
+    fn trial_limit(&self, now: Millis) -> f64 {
+        let unused = (self.need(now) - f64::from(self.paying)).max(0.0);
+        let open = self.limit * (1.0 - RESERVE) - unused;
+        if self.need(now) < 1.0 {
+            open.max(1.0)
+        } else {
+            open
+        }
+    }
+
+    /// Returns the most paying requests that lately ran at once, fading with time.
+    fn need(&self, now: Millis) -> f64 {
+        let passed = now.since(self.need_at).as_u64() as f64;
+        self.need * 0.5_f64.powf(passed / NEED_HALF)
+    }
+
+    fn start(&mut self, class: Class, now: Millis) {
         match class {
-            Class::Paying => self.paying += 1,
+            Class::Paying => {
+                self.paying += 1;
+                self.need = self.need(now).max(f64::from(self.paying));
+                self.need_at = now;
+            }
             Class::Trial => self.trial += 1,
         }
     }
--- a/papayatray_core/src/choice.rs
+++ b/papayatray_core/src/choice.rs
@@ -1,6 +1,7 @@
 //! Choice of the version that answers a request.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,6 +18,16 @@
 const FULL: f64 = 1_000.0;
 /// Tokens of a prompt and of an answer that prices are compared by.
 const USUAL_TOKENS: u64 = 1_000;
+/// One request in so many tries a cheaper version that may be good enough.
+const EXPLORE_ONE_IN: u64 = 32;
+/// Standard errors by which an estimate may be too low for a version still to be tried.
+const HOPE: f64 = 2.0;
+/// Ratings of a version and kind beyond which it is not tried any more to learn of it.
+const EXPLORED: f64 = 60.0;
+/// Ratings that are held back until they are seen to differ.
+const HELD_BACK: usize = 32;
+/// Spread under which ratings tell nothing.
+const FLAT: f64 = 0.000_1;
 /// Most ratings that count, so that the newest keep their weight.
 const RATINGS_KEPT: f64 = 200.0;
 
@@ -118,15 +129,52 @@
     pub version: &'a Version,
 }
 
+/// Holds ratings back until they are seen to differ.
+///
+/// A rating service that gives every answer the same rating has broken, and must not wipe out what
+/// was learnt before.
+#[derive(Clone, Debug, Default)]
+pub struct RatingGuard {
+    held: VecDeque<(VersionId, Kind, f64)>,
+    is_flat: bool,
+}
+
+impl RatingGuard {
+    /// Takes in a rating; returns the one that may count now.
+    pub fn add(
+        &mut self,
+        version: &VersionId,
+        kind: &Kind,
+        rating: f64,
+    ) -> Option<(VersionId, Kind, f64)> {
+        self.held.push_back((version.clone(), kind.clone(), rating));
+        if self.held.len() < HELD_BACK {
+            return None;
+        }
+        let most = self.held.iter().map(|held| held.2).fold(f64::MIN, f64::max);
+        let least = self.held.iter().map(|held| held.2).fold(f64::MAX, f64::min);
+        self.is_flat = most - least < FLAT;
+        let oldest = self.held.pop_front();
+        oldest.filter(|_| !self.is_flat)
+    }
+
+    /// Tells whether the rating service gives everything the same rating.
+    pub const fn is_flat(&self) -> bool {
+        self.is_flat
+    }
+}
+
 /// Orders `candidates` from the one to try first.
 ///
 /// First come those whose quality is surely enough for `owed` thousandths, the cheapest in front;
-/// then the rest, the best in front, since a caller is better off with them than with none.
+/// then the rest, the best in front, since a caller is better off with them than with none. Now
+/// and then, as `draw` decides, a cheaper version of which little is known goes first instead.
 pub fn rank<'a>(
     candidates: &[Candidate<'a>],
     evidence: &Evidence,
     kind: &Kind,
     owed: u32,
+    draw: u64,
 ) -> Vec<&'a VersionId> {
     let owed = f64::from(owed) / FULL;
     let mut scored: Vec<Scored<'a>> = candidates
@@ -134,9 +182,24 @@
         .map(|candidate| Scored::new(candidate, evidence, kind, owed))
         .collect();
     scored.sort_by(Scored::compare);
+    if draw.is_multiple_of(EXPLORE_ONE_IN) {
+        explore(&mut scored);
+    }
     scored.into_iter().map(|s| s.id).collect()
 }
 
+/// Puts the cheapest promising version in front, where one is cheaper than the first.
+fn explore(scored: &mut [Scored<'_>]) {
+    let Some(first) = scored.first().copied() else {
+        return;
+    };
+    let is_worth = |s: &Scored<'_>| s.promising && s.cost < first.cost;
+    let places = (1..scored.len()).filter(|place| is_worth(&scored[*place]));
+    if let Some(place) = places.min_by_key(|place| scored[*place].cost) {
+        scored[..=place].rotate_right(1);
+    }
+}
+
 /// Candidate with its scores.
 #[derive(Clone, Copy, Debug)]
 struct Scored<'a> {
@@ -144,6 +207,7 @@
     cost: u64,
     mean: f64,
     enough: bool,
+    promising: bool,
 }
 
 impl<'a> Scored<'a> {
@@ -155,6 +219,7 @@
             cost: candidate.version.cost(USUAL_TOKENS, USUAL_TOKENS),
             mean: estimate.mean,
             enough: estimate.mean - CAUTION * estimate.error >= owed,
+            promising: ratings.count < EXPLORED && estimate.mean + HOPE * estimate.error >= owed,
         }
     }
 
--- a/papayatray_core/src/router.rs
+++ b/papayatray_core/src/router.rs
@@ -107,6 +107,8 @@
     pub evidence: &'a Evidence,
     /// Exposures that the entry holds.
     pub portions: &'a Portions,
+    /// Random number that decides whether something is tried to learn of it.
+    pub draw: u64,
 }
 
 /// Decides which versions may answer a request of `organisation`.
@@ -153,7 +155,7 @@
         route.versions.push(version.clone());
         route.exposes = true;
     }
-    let ranked = rank(&full, facts.evidence, kind, owed);
+    let ranked = rank(&full, facts.evidence, kind, owed, facts.draw);
     route.versions.extend(ranked.into_iter().cloned());
     if route.versions.is_empty() {
         return Err(NoVersion::NoEndpoint);
--- a/papayatray_core/tests/core/router.rs
+++ b/papayatray_core/tests/core/router.rs
@@ -29,6 +29,7 @@
         catalogue,
         evidence,
         portions: &portions,
+        draw: 1,
     };
     let kind = Kind::new("general").unwrap();
     route(&facts, &organisation("mill"), wanted, &kind, |_| true)
@@ -140,6 +141,7 @@
         catalogue: &catalogue,
         evidence: &evidence,
         portions: &portions,
+        draw: 1,
     };
     let kind = Kind::new("general").unwrap();
     let with = route(&facts, &organisation("mill"), &Wanted::Any, &kind, |_| true).unwrap();
--- a/papayatrayd/src/caller/begin.rs
+++ b/papayatrayd/src/caller/begin.rs
@@ -70,6 +70,7 @@
             catalogue: &view.catalogue,
             evidence: &view.evidence,
             portions: &portions,
+            draw: rand::random(),
         };
         let is_served =
             |version: &VersionId| entry.roster.is_served(&Target::Version(version.clone()));
--- a/papayatrayd/src/control/keeper.rs
+++ b/papayatrayd/src/control/keeper.rs
@@ -220,12 +220,13 @@
             return;
         }
         let is_current = self.node.replica().is_current(now);
+        let members = self.node.replica().members();
         for held in std::mem::take(&mut self.held) {
             let Some(lead) = self.lead.as_ref().filter(|_| is_current) else {
                 let _ = held.reply.try_send(Led::NotLeader(self.leader()));
                 continue;
             };
-            let answer = lead.answer(&held.renew, &self.node, now);
+            let answer = lead.answer(&held.renew, self.node.machine(), members, now);
             let is_new = answer.seen != held.renew.seen;
             if is_new || now.since(held.since) >= RENEW_HOLD {
                 let _ = held.reply.try_send(Led::Answer(answer));
--- a/papayatrayd/src/control/lead.rs
+++ b/papayatrayd/src/control/lead.rs
@@ -21,8 +21,7 @@
 use papayatray_core::rollout::Tally;
 use papayatray_core::rollout::Watch;
 use papayatray_state::machine::Machine;
-use papayatray_state::node::Node;
-use papayatray_state::storage::FolderDisk;
+use papayatray_state::replica::Members;
 use papayatray_wire::peer::Renew;
 use papayatray_wire::peer::Renewed;
 use papayatray_wire::peer::Seen;
@@ -65,7 +64,8 @@
 }
 
 impl Lead {
-    pub(super) fn new(term: Term, now: Millis) -> Self {
+    /// Creates the state of a leader whose term began at `now`.
+    pub fn new(term: Term, now: Millis) -> Self {
         Self {
             term,
             leases: LeaseBook::new(now),
@@ -90,7 +90,7 @@
     }
 
     /// Takes in what an entry tells, and gives it a lease.
-    pub(super) fn renew(&mut self, renew: &Renew, now: Millis) {
+    pub fn renew(&mut self, renew: &Renew, now: Millis) {
         self.leases.renew(&renew.info, renew.seen.revision, now);
         let incarnation = renew.info.incarnation;
         let first = Told {
@@ -122,7 +122,7 @@
     }
 
     /// Looks at leases, ratings and tallies; returns a change that halts a bad version.
-    pub(super) fn tend(&mut self, machine: &Machine, now: Millis) -> Option<Change> {
+    pub fn tend(&mut self, machine: &Machine, now: Millis) -> Option<Change> {
         self.leases.expire(now);
         if self.is_stale && now.since(self.summed) >= SUM_EVERY {
             self.sum(now);
@@ -191,8 +191,13 @@
     }
 
     /// Returns what the entry does not have yet.
-    pub(super) fn answer(&self, renew: &Renew, node: &Node<FolderDisk>, now: Millis) -> Renewed {
-        let machine = node.machine();
+    pub fn answer(
+        &self,
+        renew: &Renew,
+        machine: &Machine,
+        members: &Members,
+        now: Millis,
+    ) -> Renewed {
         let catalogue = machine.catalogue();
         let has = renew.seen;
         let seen = Seen {
@@ -213,7 +218,6 @@
                 .map(|(info, _)| info.clone())
                 .collect()
         };
-        let members = node.replica().members().iter();
         Renewed {
             seen,
             catalogue: (is_behind && changes.is_none()).then(|| catalogue.clone()),
@@ -223,6 +227,7 @@
             evidence: (has.evidence != seen.evidence).then(|| self.evidence.clone()),
             in_force: self.leases.in_force(catalogue.revision, now),
             controls: members
+                .iter()
                 .map(|(id, m)| (id.vm.clone(), m.address.clone()))
                 .collect(),
         }
--- a/papayatrayd/src/control/mod.rs
+++ b/papayatrayd/src/control/mod.rs
@@ -9,3 +9,4 @@
 pub use handle::ControlError;
 pub use handle::Start;
 pub use handle::start;
+pub use lead::Lead;
--- a/papayatrayd/src/entry/core.rs
+++ b/papayatrayd/src/entry/core.rs
@@ -13,11 +13,13 @@
 use std::sync::atomic::Ordering;
 
 use papayatray_core::choice::Evidence;
+use papayatray_core::choice::RatingGuard;
 use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::Fingerprint;
 use papayatray_core::id::Incarnation;
+use papayatray_core::id::Kind;
 use papayatray_core::id::VersionId;
 use papayatray_core::id::VmId;
 use papayatray_core::lease::EntryInfo;
@@ -44,6 +46,8 @@
 use crate::settings::Settings;
 use crate::tasks::Tasks;
 
+/// Rating below which an answer counts as bad.
+const BAD_RATING: f64 = 0.5;
 /// Time between two rounds of upkeep.
 const UPKEEP_EVERY: Millis = Millis::new(50);
 
@@ -117,6 +121,7 @@
     budget: Mutex<RetryBudget>,
     tallies: Mutex<BTreeMap<VersionId, Tally>>,
     ratings: Mutex<Evidence>,
+    rating_guard: Mutex<RatingGuard>,
     suspects: RwLock<BTreeSet<Fingerprint>>,
     stop: AtomicU8,
     kicked: AtomicBool,
@@ -148,6 +153,7 @@
             budget: Mutex::default(),
             tallies: Mutex::default(),
             ratings: Mutex::default(),
+            rating_guard: Mutex::default(),
             suspects: RwLock::default(),
             stop: AtomicU8::new(Stop::None as u8),
             kicked: AtomicBool::new(false),
@@ -240,6 +246,22 @@
         lock(&self.ratings)
     }
 
+    /// Takes in a rating; one from a service that rates everything alike counts for nothing.
+    pub fn rate(&self, version: &VersionId, kind: &Kind, rating: f64) {
+        let mut guard = lock(&self.rating_guard);
+        let was_flat = guard.is_flat();
+        let counted = guard.add(version, kind, rating);
+        if guard.is_flat() != was_flat {
+            event(Level::Warn, "ratings_flat", &[("flat", &guard.is_flat())]);
+        }
+        drop(guard);
+        let Some((version, kind, rating)) = counted else {
+            return;
+        };
+        self.ratings().add(&version, &kind, rating);
+        self.tally(&version, rating >= BAD_RATING);
+    }
+
     /// Counts a request that a version answered well or badly.
     pub fn tally(&self, version: &VersionId, is_good: bool) {
         let mut tallies = self.tallies();
--- a/papayatrayd/src/http/platform.rs
+++ b/papayatrayd/src/http/platform.rs
@@ -9,7 +9,6 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::directory::Endpoint;
 use papayatray_core::id::EndpointId;
-use papayatray_core::rollout::Tally;
 use papayatray_wire::http::Announcement;
 use papayatray_wire::http::ErrorCode;
 use papayatray_wire::http::Rating;
@@ -27,8 +26,6 @@
 const RENEW_WITHIN: Millis = Millis::from_secs(2);
 /// Most bytes of a body.
 const BODY_BYTES: usize = 256 << 10;
-/// Rating below which an answer counts as bad.
-const BAD_RATING: f64 = 0.5;
 
 pub(super) async fn answer(
     entry: &Arc<Entry>,
@@ -91,19 +88,7 @@
             "field rating: wanted is 0 to 1",
         ));
     }
-    entry
-        .ratings()
-        .add(&rating.version, &rating.kind, rating.rating);
-    let is_bad = rating.rating < BAD_RATING;
-    let tally = Tally {
-        good: u64::from(!is_bad),
-        bad: u64::from(is_bad),
-    };
-    entry
-        .tallies()
-        .entry(rating.version)
-        .or_default()
-        .add(&tally);
+    entry.rate(&rating.version, &rating.kind, rating.rating);
     Ok(Response::new(StatusCode::NoContent))
 }
 
