feat: orders to engines, paced exposures, and a list of entries told by differences

Change: exposures of a step are handed out over a minute and the stop rule asks for more evidence; entries come as differences; queues of 65,536 places became 4,096; a leader orders engines to load what nobody serves and to unload what is withdrawn, fenced by its term, and orders engines that ignore fences only once no earlier leader's order can be on its way. Ruled out: a moving window of 200 ratings for the choice; it is now 2,000 with a drift test.

--- a/papayatray_bench/src/decisions/admission.rs
+++ b/papayatray_bench/src/decisions/admission.rs
@@ -196,8 +196,8 @@
                     }
                 }
                 Turn::Shed(ticket, _) => {
-                    let shed = waiting.remove(&ticket);
-                    let is_paying = shed.is_some_and(|(_, class)| class == Class::Paying);
+                    let refused = waiting.remove(&ticket);
+                    let is_paying = refused.is_some_and(|(_, class)| class == Class::Paying);
                     outcome.paying_shed += f64::from(u8::from(is_paying));
                 }
             }
--- a/papayatray_core/src/choice.rs
+++ b/papayatray_core/src/choice.rs
@@ -19,7 +19,7 @@
 /// Tokens of a prompt and of an answer that prices are compared by.
 const USUAL_TOKENS: u64 = 1_000;
 /// One request in so many tries a cheaper version that may be good enough.
-const EXPLORE_ONE_IN: u64 = 32;
+const EXPLORE_ONE_IN: u64 = 16;
 /// Standard errors by which an estimate may be too low for a version still to be tried.
 const HOPE: f64 = 2.0;
 /// Ratings of a version and kind beyond which it is not tried any more to learn of it.
@@ -29,7 +29,13 @@
 /// Spread under which ratings tell nothing.
 const FLAT: f64 = 0.000_1;
 /// Most ratings that count, so that the newest keep their weight.
-const RATINGS_KEPT: f64 = 200.0;
+const RATINGS_KEPT: f64 = 2_000.0;
+/// Weight of the newest rating in the moving mean that shows a drift.
+const RECENT_WEIGHT: f64 = 1.0 / 30.0;
+/// Ratings that the moving mean stands for.
+const RECENT_COUNT: f64 = 30.0;
+/// Standard deviations of the moving mean that make a drift.
+const DRIFT: f64 = 5.0;
 
 /// Ratings of a version for one kind of request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -40,6 +46,8 @@
     pub sum: f64,
     /// Sum of the squares of ratings.
     pub squares: f64,
+    /// Moving mean of the newest ratings.
+    pub recent: f64,
 }
 
 impl Ratings {
@@ -55,11 +63,34 @@
         self.count += 1.0;
         self.sum += rating;
         self.squares += rating * rating;
+        if self.count <= RECENT_COUNT {
+            self.recent = self.sum / self.count;
+            return;
+        }
+        self.recent += (rating - self.recent) * RECENT_WEIGHT;
+        self.forget_before_drift();
+    }
+
+    /// Drops the history where the newest ratings show that it holds no more.
+    fn forget_before_drift(&mut self) {
+        let mean = self.sum / self.count;
+        let variance = (self.squares / self.count - mean * mean).max(0.0);
+        let spread = (variance * RECENT_WEIGHT / (2.0 - RECENT_WEIGHT)).sqrt();
+        let has_drifted = (self.recent - mean).abs() > DRIFT * spread.max(f64::EPSILON);
+        if self.count > 2.0 * RECENT_COUNT && has_drifted {
+            self.count = RECENT_COUNT;
+            self.sum = self.recent * RECENT_COUNT;
+            self.squares = (variance + self.recent * self.recent) * RECENT_COUNT;
+        }
     }
 
     /// Takes in the ratings of another holder.
     pub fn merge(&mut self, other: &Self) {
-        self.count += other.count;
+        let count = self.count + other.count;
+        if count > 0.0 {
+            self.recent = (self.recent * self.count + other.recent * other.count) / count;
+        }
+        self.count = count;
         self.sum += other.sum;
         self.squares += other.squares;
     }
--- a/papayatray_core/src/lease.rs
+++ b/papayatray_core/src/lease.rs
@@ -1,6 +1,7 @@
 //! Leases of entries on the configuration, and the revision that is in force everywhere.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -16,6 +17,9 @@
 /// Longer time that the leader counts, for clocks that run at unlike rates.
 pub const LEASE_HELD: Millis = Millis::new(2_800);
 
+/// Departures that are remembered, so that the whole list need not be sent.
+const GONE_KEPT: usize = 1_024;
+
 /// What is known of a VM that runs an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryInfo {
@@ -39,13 +43,27 @@
     info: EntryInfo,
     revision: Revision,
     until: Millis,
+    changed: u64,
+}
+
+/// Entries that came, changed or went since a version of the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryNews {
+    /// Whether the list begins anew.
+    pub anew: bool,
+    /// Entries that came or changed.
+    pub put: Vec<EntryInfo>,
+    /// Entries that went.
+    pub gone: Vec<VmId>,
 }
 
 /// Leases that a leader has given; kept in memory only, and built anew by the next leader.
 #[derive(Clone, Debug, Default)]
 pub struct LeaseBook {
     leases: BTreeMap<VmId, EntryLease>,
+    gone: VecDeque<(u64, VmId)>,
     settled: Millis,
+    first: u64,
     version: u64,
 }
 
@@ -56,31 +74,65 @@
     pub fn new(now: Millis) -> Self {
         Self {
             leases: BTreeMap::new(),
+            gone: VecDeque::new(),
             settled: now + LEASE_HELD,
+            first: now.as_u64(),
             version: now.as_u64(),
         }
     }
 
     /// Gives a lease to the entry `info`, which works by `revision`.
     pub fn renew(&mut self, info: &EntryInfo, revision: Revision, now: Millis) {
-        let known = self.leases.get(&info.vm).map(|lease| &lease.info);
-        if known != Some(info) {
+        let known = self
+            .leases
+            .get(&info.vm)
+            .filter(|lease| lease.info == *info);
+        let changed = known.map(|lease| lease.changed);
+        let changed = changed.unwrap_or_else(|| {
             self.version += 1;
-        }
+            self.version
+        });
         let lease = EntryLease {
             info: info.clone(),
             revision,
             until: now + LEASE_HELD,
+            changed,
         };
         self.leases.insert(info.vm.clone(), lease);
     }
 
     /// Drops leases that have ended.
     pub fn expire(&mut self, now: Millis) {
-        let before = self.leases.len();
-        self.leases.retain(|_, lease| lease.until >= now);
-        if self.leases.len() != before {
+        let ended = self.leases.iter().filter(|(_, lease)| lease.until < now);
+        let ended: Vec<VmId> = ended.map(|(vm, _)| vm.clone()).collect();
+        for vm in ended {
+            self.leases.remove(&vm);
             self.version += 1;
+            self.gone.push_back((self.version, vm));
+        }
+        while self.gone.len() > GONE_KEPT {
+            // Whoever has not heard of this one gets the whole list.
+            self.first = self
+                .gone
+                .pop_front()
+                .map_or(self.first, |(version, _)| version);
+        }
+    }
+
+    /// Returns what came, changed or went since `version` of the list.
+    pub fn news(&self, version: u64) -> EntryNews {
+        let anew = version < self.first || version > self.version;
+        let is_news = |lease: &&EntryLease| anew || lease.changed > version;
+        let put = self
+            .leases
+            .values()
+            .filter(is_news)
+            .map(|lease| lease.info.clone());
+        let gone = self.gone.iter().filter(|(at, _)| !anew && *at > version);
+        EntryNews {
+            anew,
+            put: put.collect(),
+            gone: gone.map(|(_, vm)| vm.clone()).collect(),
         }
     }
 
@@ -109,6 +161,21 @@
     }
 }
 
+impl EntryNews {
+    /// Applies the news to a list of entries.
+    pub fn apply(&self, entries: &mut BTreeMap<VmId, EntryInfo>) {
+        if self.anew {
+            entries.clear();
+        }
+        for vm in &self.gone {
+            entries.remove(vm);
+        }
+        for info in &self.put {
+            entries.insert(info.vm.clone(), info.clone());
+        }
+    }
+}
+
 /// Lease as the entry itself sees it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HeldLease {
--- a/papayatray_core/src/lib.rs
+++ b/papayatray_core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod id;
 pub mod lease;
 pub mod ledger;
+pub mod orders;
 pub mod pool;
 pub mod retry;
 pub mod rollout;
--- a/papayatray_core/src/rollout.rs
+++ b/papayatray_core/src/rollout.rs
@@ -10,7 +10,7 @@
 /// Share of failures above normal that counts as bad.
 const BAD_MARGIN: f64 = 0.2;
 /// Evidence, in natural logarithms of odds, that stops a version.
-const STOP_AT: f64 = 6.9;
+const STOP_AT: f64 = 11.5;
 /// Weight of one request in the moving share of failures of a reference.
 const REFERENCE_WEIGHT: f64 = 0.01;
 
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod health;
 mod lease;
+mod orders;
 mod pool;
 mod rollout;
 mod router;
--- a/papayatray_state/src/machine.rs
+++ b/papayatray_state/src/machine.rs
@@ -156,7 +156,7 @@
                 let firsts = bills.iter().filter(|bill| self.ledger.record(bill, now));
                 Reply::Billed(u32::try_from(firsts.count()).unwrap_or(u32::MAX))
             }
-            Command::Expose { version, want } => Reply::Exposed(self.expose(version, *want)),
+            Command::Expose { version, want } => Reply::Exposed(self.expose(version, *want, now)),
             Command::Report { life, fingerprints } => {
                 self.suspicion.report(life, fingerprints, now);
                 Reply::Done
@@ -173,9 +173,11 @@
         }
     }
 
-    fn expose(&mut self, version: &VersionId, want: u32) -> u32 {
+    fn expose(&mut self, version: &VersionId, want: u32, now: Millis) -> u32 {
         let known = self.book.catalogue().versions.get(version);
-        known.map_or(0, |own| self.exposures.grant(version, &own.stage, want))
+        known.map_or(0, |own| {
+            self.exposures.grant(version, &own.stage, want, now)
+        })
     }
 
     /// Returns the configuration that stands.
--- a/papayatray_wire/src/peer/method.rs
+++ b/papayatray_wire/src/peer/method.rs
@@ -13,6 +13,7 @@
 use papayatray_core::id::VersionId;
 use papayatray_core::id::VmId;
 use papayatray_core::lease::EntryInfo;
+use papayatray_core::lease::EntryNews;
 use papayatray_core::rollout::Tally;
 use papayatray_state::machine::Command;
 use papayatray_state::machine::Reply;
@@ -99,8 +100,8 @@
     pub catalogue: Option<Catalogue>,
     /// Requests under suspicion, where they changed.
     pub suspects: Option<BTreeSet<Fingerprint>>,
-    /// Entries with a lease, where they changed.
-    pub entries: Option<Vec<EntryInfo>>,
+    /// Entries that came, changed or went, where any did.
+    pub entries: Option<EntryNews>,
     /// Ratings of all entries, where they changed.
     pub evidence: Option<Evidence>,
     /// Revision that is in force everywhere, where that is known.
--- a/papayatrayd/src/caller/pages.rs
+++ b/papayatrayd/src/caller/pages.rs
@@ -65,7 +65,7 @@
         let is_own_stop = info.vm == entry.vm && entry.stop() != Stop::None;
         !info.draining && !is_own_stop
     };
-    let open: Vec<&EntryInfo> = view.entries.iter().filter(is_open).collect();
+    let open: Vec<&EntryInfo> = view.entries.values().filter(is_open).collect();
     let (mut own, mut far): (Vec<_>, Vec<_>) =
         open.into_iter().partition(|info| info.data_centre == *near);
     let draw = usize::try_from(entry.next_number() % (1 << 16)).unwrap_or(0);
--- a/papayatrayd/src/control/handle.rs
+++ b/papayatrayd/src/control/handle.rs
@@ -8,6 +8,7 @@
 use displaydoc::Display;
 use papayatray_core::clock::Clock;
 use papayatray_core::id::Incarnation;
+use papayatray_core::id::Term;
 use papayatray_core::id::VmId;
 use papayatray_state::machine::Command;
 use papayatray_state::machine::Reply;
@@ -91,6 +92,15 @@
     pub metrics: Arc<Metrics>,
 }
 
+/// Leave to give orders to endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Commander {
+    /// Term that fences the orders.
+    pub term: Term,
+    /// Whether no order of an earlier leader can be on its way any more.
+    pub alone: bool,
+}
+
 /// Handle on the control thread.
 #[derive(Clone, Debug)]
 pub struct Control {
@@ -220,6 +230,15 @@
             .await
     }
 
+    /// Returns leave to give orders, if this replica leads beyond doubt.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread has ended.
+    pub async fn command(&self) -> Result<Option<Commander>, ControlError> {
+        self.ask(|keeper| keeper.commander()).await
+    }
+
     /// Hands leadership over, as part of a planned stop.
     ///
     /// # Errors
--- a/papayatrayd/src/control/keeper.rs
+++ b/papayatrayd/src/control/keeper.rs
@@ -8,6 +8,7 @@
 use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
 use papayatray_core::id::VmId;
+use papayatray_core::lease::LEASE_HELD;
 use papayatray_state::machine::Reply;
 use papayatray_state::node::Node;
 use papayatray_state::node::Refusal;
@@ -22,6 +23,7 @@
 use papayatray_wire::peer::Renewed;
 use smol::channel::Sender;
 
+use super::handle::Commander;
 use super::handle::Input;
 use super::lead::Lead;
 use crate::observe::Level;
@@ -244,6 +246,16 @@
         self.clock.now()
     }
 
+    pub(super) fn commander(&self) -> Option<Commander> {
+        let now = self.clock.now();
+        let replica = self.node.replica();
+        let alone = now >= replica.led_since() + LEASE_HELD;
+        replica.is_current(now).then_some(Commander {
+            term: replica.term(),
+            alone,
+        })
+    }
+
     pub(super) fn hand_over(&mut self) {
         let now = self.clock.now();
         self.node.replica_mut().hand_over(now);
--- a/papayatrayd/src/control/lead.rs
+++ b/papayatrayd/src/control/lead.rs
@@ -212,18 +212,12 @@
             machine.book().since(has.revision)
         };
         let is_behind = has.revision != seen.revision;
-        let entries = || {
-            self.leases
-                .entries()
-                .map(|(info, _)| info.clone())
-                .collect()
-        };
         Renewed {
             seen,
             catalogue: (is_behind && changes.is_none()).then(|| catalogue.clone()),
             changes: changes.unwrap_or_default(),
             suspects: (has.suspects != seen.suspects).then(|| machine.suspicion().fingerprints()),
-            entries: (has.entries != seen.entries).then(entries),
+            entries: (has.entries != seen.entries).then(|| self.leases.news(has.entries)),
             evidence: (has.evidence != seen.evidence).then(|| self.evidence.clone()),
             in_force: self.leases.in_force(catalogue.revision, now),
             controls: members
--- a/papayatrayd/src/daemon.rs
+++ b/papayatrayd/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::control;
 use crate::control::Control;
 use crate::control::ControlError;
+use crate::control::give_orders;
 use crate::entry::Entry;
 use crate::entry::Start;
 use crate::entry::Stop;
@@ -185,6 +186,9 @@
             control: control.clone(),
         };
         tasks.spawn(serve(peer_listener, serving));
+        if let (Some(entry), Some(control)) = (&entry, &control) {
+            tasks.spawn(give_orders(Arc::clone(entry), control.clone()));
+        }
         if let (Some(entry), Some(listener)) = (&entry, caller_listener) {
             tasks.spawn(listen(Arc::clone(entry), listener));
         }
--- a/papayatrayd/src/engine/exchange.rs
+++ b/papayatrayd/src/engine/exchange.rs
@@ -100,7 +100,7 @@
         if !may_send() {
             return Err(SendError::Withdrawn);
         }
-        match send_on(stream, member, exchange).await {
+        match send_on(stream, &member.address, exchange).await {
             // A kept connection may have ended in between: that says nothing of the endpoint.
             Err(SendError::Lost(_)) => {}
             other => return other,
@@ -111,15 +111,18 @@
     if !may_send() {
         return Err(SendError::Withdrawn);
     }
-    send_on(stream, member, exchange).await
+    send_on(stream, &member.address, exchange).await
 }
 
-async fn send_on(
-    stream: TcpStream,
-    member: &Member,
-    exchange: &Exchange,
-) -> Result<Sent, SendError> {
-    let request = exchange.request(&member.address)?;
+/// Sends a request on a connection of its own; returns the status of the answer, if one came.
+pub async fn send_plain(address: &str, exchange: &Exchange) -> Option<u16> {
+    let stream = Connections::open(address).await.ok()?;
+    let sent = send_on(stream, address, exchange).await.ok()?;
+    Some(sent.response.status().into())
+}
+
+async fn send_on(stream: TcpStream, address: &str, exchange: &Exchange) -> Result<Sent, SendError> {
+    let request = exchange.request(address)?;
     let answering = async {
         let answer = client::connect(stream.clone(), request).await;
         answer.map_err(|error| SendError::Lost(error.to_string()))
--- a/papayatrayd/src/engine/mod.rs
+++ b/papayatrayd/src/engine/mod.rs
@@ -9,6 +9,7 @@
 pub use exchange::SendError;
 pub use exchange::Sent;
 pub use exchange::send;
+pub use exchange::send_plain;
 pub use source::Event;
 pub use source::Source;
 pub use source::SourceError;
--- a/papayatrayd/src/entry/billing.rs
+++ b/papayatrayd/src/entry/billing.rs
@@ -15,7 +15,7 @@
 /// Most bills in one command.
 const BATCH: usize = 512;
 /// Bills that may wait.
-const QUEUE: usize = 65_536;
+const QUEUE: usize = 4_096;
 /// Batches that may be under way at once.
 const LANES: usize = 2;
 /// Time within which a bill must be durable.
--- a/papayatrayd/src/entry/news.rs
+++ b/papayatrayd/src/entry/news.rs
@@ -22,7 +22,7 @@
 /// Time that a request waits for the other entries to learn of its suspicion.
 const SUSPECT_WAIT: Millis = Millis::new(250);
 /// News that may wait.
-const QUEUE: usize = 65_536;
+const QUEUE: usize = 4_096;
 
 /// News that wait to be passed on.
 #[derive(Debug)]
@@ -114,7 +114,7 @@
 
     fn other_entries(&self) -> Vec<String> {
         let view = self.view();
-        let others = view.entries.iter().filter(|info| info.vm != self.vm);
+        let others = view.entries.values().filter(|info| info.vm != self.vm);
         others.map(|info| info.peer_address.clone()).collect()
     }
 }
--- a/papayatrayd/src/entry/view.rs
+++ b/papayatrayd/src/entry/view.rs
@@ -9,6 +9,7 @@
 use papayatray_core::id::KeyHash;
 use papayatray_core::id::OrganisationId;
 use papayatray_core::id::Revision;
+use papayatray_core::id::VmId;
 use papayatray_core::lease::EntryInfo;
 use papayatray_wire::peer::Renewed;
 use papayatray_wire::peer::Seen;
@@ -25,7 +26,7 @@
     /// Requests under suspicion.
     pub suspects: BTreeSet<Fingerprint>,
     /// Entries with a lease.
-    pub entries: Vec<EntryInfo>,
+    pub entries: BTreeMap<VmId, EntryInfo>,
     /// Ratings of all entries.
     pub evidence: Evidence,
     /// Revision that is in force everywhere, where that is known.
@@ -60,7 +61,7 @@
             next.suspects.clone_from(suspects);
         }
         if let Some(entries) = &answer.entries {
-            next.entries.clone_from(entries);
+            entries.apply(&mut next.entries);
         }
         if let Some(evidence) = &answer.evidence {
             next.evidence = evidence.clone();
--- a/papayatrayd/src/http/operator.rs
+++ b/papayatrayd/src/http/operator.rs
@@ -176,7 +176,7 @@
 /// Returns the address of a VM that runs an entry.
 fn address_of(entry: &Entry, vm: &VmId) -> Result<String, Refused> {
     let view = entry.view();
-    let found = view.entries.iter().find(|info| info.vm == *vm);
+    let found = view.entries.get(vm);
     let message = format!("no VM {vm} is live; `papayatray status` lists them");
     let missing = || Refused::new(ErrorCode::NotFound, message);
     found
@@ -197,7 +197,7 @@
         trace: trace.to_owned(),
     };
     let mut spans: Vec<Span> = Vec::new();
-    for info in &entry.view().entries {
+    for info in entry.view().entries.values() {
         let found: Result<Vec<Span>, _> = entry
             .peers
             .call(&info.peer_address, Call::Trace, &request, VM_LIMIT)
--- a/papayatrayd/tests/faults/endpoints.rs
+++ b/papayatrayd/tests/faults/endpoints.rs
@@ -179,3 +179,42 @@
         assert!(exposed <= 40, "{exposed} callers exposed");
     });
 }
+
+#[test]
+fn orders_are_fenced_by_the_term_of_the_leader_that_gives_them() {
+    smol::block_on(async {
+        let mut rig = Rig::start("orders", 4, 1).await;
+        let edits = json!([
+            {"declare-version": {"version": "drafter@2", "price_in": 1, "price_out": 1, "prior": 950}},
+            {"offer": {"version": "drafter@2"}},
+        ]);
+        rig.change_at(3, "offer", 1, edits).await.unwrap();
+        let engine = rig.engines[0].clone();
+        rig.until("the new version is ordered", || async {
+            !engine.orders().is_empty()
+        })
+        .await;
+        let (first, text) = engine.orders()[0].clone();
+        assert_eq!(text, r#"{"load":"drafter@2"}"#);
+        let leader = rig.leader(3).await.unwrap();
+        rig.site.kill(leader);
+        let edits = json!([{"withdraw": {"version": "drafter@1"}}]);
+        rig.change_at(3, "withdraw", 2, edits).await.unwrap();
+        let unload = r#"{"unload":"drafter@1"}"#;
+        rig.until("the withdrawn version is unloaded", || async {
+            engine.orders().iter().any(|(_, text)| text == unload)
+        })
+        .await;
+        let orders = engine.orders();
+        let (later, _) = orders.iter().find(|(_, text)| text == unload).unwrap();
+        assert!(
+            *later > first,
+            "the next leader's fence is higher: {orders:?}"
+        );
+        let stale = [("papayatray-fence", "0")];
+        let address = engine.address();
+        let answer =
+            papayatray_standin::call(address, Method::Post, "/v1/orders", &stale, Vec::new());
+        assert_eq!(answer.await.unwrap().status, 409, "an old fence is refused");
+    });
+}
