test: run the operators' tool as people do, and send a once-only call everywhere at once

Cause: the mutation 'send before the claim' survived; the command line had no test. Change: a call sent twelve times at four entries at once, then again at each; three tests of the tool.

--- a/papayatray_bench/src/state.rs
+++ b/papayatray_bench/src/state.rs
@@ -40,6 +40,8 @@
 const ORGANISATIONS: u64 = 10_000;
 /// Changes of a day at the target.
 const CHANGES: u64 = 88_000;
+/// Bills whose memory is measured.
+const BILLS: u64 = 300_000;
 /// Kibibytes of a mebibyte.
 const KIB_PER_MIB: f64 = 1_024.0;
 
@@ -135,9 +137,26 @@
     report.add("state", "change_ms_at_10000_organisations", each);
     let bytes = postcard::to_stdvec(&book)?.len();
     report.add("state", "snapshot_mib", bytes as f64 / f64::from(1 << 20));
+    drop(book);
+    report.add("state", "bytes_per_kept_bill", bytes_per_bill());
     Ok(())
 }
 
+/// Returns the memory that one kept bill takes.
+fn bytes_per_bill() -> f64 {
+    let before = resident();
+    let mut machine = Machine::default();
+    for number in 0..BILLS {
+        machine.apply(&Stamped {
+            at: Millis::new(number),
+            command: bill(number),
+        });
+    }
+    let after = resident();
+    let kept = machine.ledger().lines().count().max(1);
+    (after - before) * KIB_PER_MIB / kept as f64
+}
+
 fn resident() -> f64 {
     let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = text
--- a/papayatray_state/tests/state/replicas.rs
+++ b/papayatray_state/tests/state/replicas.rs
@@ -346,7 +346,7 @@
         entries,
     };
     let mut replica = Replica::new(name(1), "", restored, 1, now);
-    let mut tell = |replica: &mut Replica, at: Millis, message: Message| {
+    let tell = |replica: &mut Replica, at: Millis, message: Message| {
         let envelope = Envelope {
             from: name(2),
             to: name(1),
--- a/papayatrayd/tests/faults/callers.rs
+++ b/papayatrayd/tests/faults/callers.rs
@@ -295,3 +295,64 @@
         );
     });
 }
+
+#[test]
+fn call_that_may_not_be_repeated_runs_once_however_it_is_sent() {
+    smol::block_on(async {
+        let rig = Rig::start("once", 4, 1).await;
+        for round in 0..5 {
+            let id = format!("confirmation-{round}");
+            let sends: Vec<_> = (0..12)
+                .map(|number| {
+                    let entry = rig.site.vms()[number % 4].caller;
+                    let id = id.clone();
+                    smol::spawn(async move {
+                        crate::rig::serve(entry, Method::Post, &id, "coil 7")
+                            .await
+                            .unwrap()
+                    })
+                })
+                .collect();
+            let mut answers = Vec::new();
+            for send in sends {
+                answers.push(send.await);
+            }
+            assert!(
+                answers.iter().any(|answer| answer.status == 200),
+                "{answers:?}"
+            );
+            for answer in answers.iter().filter(|answer| answer.status != 200) {
+                assert_eq!(answer.code().as_deref(), Some("in_progress"), "{answer:?}");
+                assert_eq!(answer.json()["error"]["not_run"], false);
+            }
+            for vm in 0..4 {
+                let again = rig.serve(vm, Method::Post, &id, "coil 7").await.unwrap();
+                assert_eq!(
+                    again.json()["run"],
+                    1,
+                    "a resend gets the first answer: {again:?}"
+                );
+            }
+            let other = rig.serve(0, Method::Post, &id, "coil 8").await.unwrap();
+            assert_eq!(other.code().as_deref(), Some("id_reused"));
+        }
+        assert!(
+            rig.service.runs().values().all(|count| *count == 1),
+            "{:?}",
+            rig.service.runs()
+        );
+        assert_eq!(rig.bills(0).await.len(), 5, "one bill each");
+        let chat = [
+            ("papayatray-effect", "once"),
+            ("idempotency-key", "draft-1"),
+        ];
+        let first = rig.chat_with(0, "draft", false, &chat).await.unwrap();
+        let again = rig.chat_with(2, "draft", false, &chat).await.unwrap();
+        assert_eq!(first.text(), again.text());
+        assert_eq!(
+            rig.engines[0].prompts().len(),
+            1,
+            "a chat marked once runs once too"
+        );
+    });
+}
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,146 @@
+//! The command line of the operators, run as people run it.
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+use std::time::Duration;
+
+use papayatray_standin::OPERATOR_KEY;
+use papayatray_standin::Program;
+use papayatray_standin::Site;
+use papayatray_standin::free_address;
+
+/// Longest wait for the site.
+const LIMIT: Duration = Duration::from_secs(30);
+/// Plan of a small site.
+const PLAN: &str = r#"
+[versions."drafter@1"]
+price_in = 10
+price_out = 20
+prior = 900
+stage = "offered"
+
+[organisations.mill]
+class = "paying"
+grants = ["drafter"]
+"#;
+
+/// Runs the tool against an address.
+fn tool(address: &str, arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_papayatray"))
+        .args(arguments)
+        .env("PAPAYATRAY_ADDRESS", address)
+        .env("PAPAYATRAY_KEY", OPERATOR_KEY)
+        .output()
+        .expect("the tool runs")
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn code(output: &Output) -> Option<i32> {
+    output.status.code()
+}
+
+/// Returns the daemon's program, which stands beside the tool once the workspace is built.
+fn daemon() -> PathBuf {
+    let tool = PathBuf::from(env!("CARGO_BIN_EXE_papayatray"));
+    tool.with_file_name("papayatrayd")
+}
+
+#[test]
+fn wrong_use_is_told_before_anything_is_sent() {
+    let nowhere = free_address().expect("an address").to_string();
+    let cases: [&[&str]; 4] = [
+        &["org", "create", "mill", "--class", "golden"],
+        &["version", "offer", "no-version"],
+        &["exception", "mill", "--reason", "x"],
+        &["status", "--format", "xml"],
+    ];
+    for arguments in cases {
+        let output = tool(&nowhere, arguments);
+        assert_eq!(code(&output), Some(2), "{arguments:?}: {output:?}");
+        let lines = String::from_utf8_lossy(&output.stderr).lines().count();
+        assert_eq!(lines, 1, "{output:?}");
+    }
+    let output = tool(&nowhere, &["status"]);
+    assert_eq!(code(&output), Some(1));
+    assert!(
+        String::from_utf8_lossy(&output.stderr).contains("--address"),
+        "the next step is named"
+    );
+}
+
+#[test]
+fn new_key_prints_a_key_and_its_digest() {
+    let output = tool("127.0.0.1:1", &["new-key", "--format", "json"]);
+    let made: serde_json::Value = serde_json::from_str(&text(&output)).expect("JSON");
+    let key = made["key"].as_str().expect("a key");
+    let hash = blake3::hash(key.as_bytes()).to_hex().to_string();
+    assert_eq!(made["hash"], hash.as_str());
+}
+
+#[test]
+fn operators_day_goes_through_the_tool() {
+    assert!(
+        daemon().exists(),
+        "papayatrayd is not built; run cargo test --workspace"
+    );
+    let program = Program {
+        path: daemon(),
+        arguments: Vec::new(),
+    };
+    let mut site = Site::new(program, "cli", 3, &["aviles"], "").expect("a site");
+    site.start_all().expect("daemons");
+    smol::block_on(site.wait_ready(&[0, 1, 2], LIMIT)).expect("ready");
+    let address = site.vms()[0].caller.to_string();
+    let run = |arguments: &[&str]| tool(&address, arguments);
+    let path = std::env::temp_dir().join(format!("papayatray-plan-{}.toml", std::process::id()));
+    std::fs::write(&path, PLAN).expect("a plan");
+    let plan = path.to_string_lossy().into_owned();
+
+    let output = run(&["diff", &plan]);
+    assert!(text(&output).contains("DeclareVersion"), "{output:?}");
+    let output = run(&["apply", &plan, "--why", "first day"]);
+    assert_eq!(code(&output), Some(0), "{output:?}");
+    assert!(text(&output).contains("in force everywhere"), "{output:?}");
+    assert!(text(&run(&["diff", &plan])).contains("nothing differs"));
+
+    let output = run(&["org", "add-key", "mill", "first"]);
+    assert!(text(&output).contains("ptk_"), "{output:?}");
+    let output = run(&["org", "quality", "mill", "950", "--reason", "contract"]);
+    assert_eq!(code(&output), Some(0), "{output:?}");
+    assert!(text(&run(&["exceptions"])).contains("contract"));
+    assert!(text(&run(&["orgs"])).contains("950"));
+    assert!(text(&run(&["versions"])).contains("offered"));
+
+    let output = run(&["version", "resume", "drafter@1"]);
+    assert_eq!(code(&output), Some(1), "a refused change: {output:?}");
+    assert!(String::from_utf8_lossy(&output.stderr).contains("offered"));
+    let output = run(&["org", "create", "mill"]);
+    assert!(
+        String::from_utf8_lossy(&output.stderr).contains("exists already"),
+        "{output:?}"
+    );
+
+    let status = text(&run(&["status"]));
+    assert!(status.contains("in force everywhere"), "{status}");
+    assert_eq!(
+        status
+            .lines()
+            .filter(|line| line.starts_with("entry"))
+            .count(),
+        3,
+        "{status}"
+    );
+    let history = text(&run(&["history"]));
+    assert!(
+        history.contains("first day") && history.contains("operator"),
+        "{history}"
+    );
+    assert!(text(&run(&["bills", "--csv"])).starts_with("organisation,day"));
+    let output = run(&["drain", "vm-9"]);
+    assert_eq!(code(&output), Some(1), "{output:?}");
+    std::fs::remove_file(&path).expect("the plan is removed");
+}
