--- a/papayatray_core/src/lease.rs
+++ b/papayatray_core/src/lease.rs
@@ -62,6 +62,10 @@
 pub struct LeaseBook {
     leases: BTreeMap<VmId, EntryLease>,
     gone: VecDeque<(u64, VmId)>,
+    /// Entries by the revision that they work by, so that the lowest is at hand.
+    revisions: BTreeMap<Revision, usize>,
+    /// Moment before which no lease ends; renewals only make leases longer.
+    earliest: Millis,
     settled: Millis,
     first: u64,
     version: u64,
@@ -75,6 +79,8 @@
         Self {
             leases: BTreeMap::new(),
             gone: VecDeque::new(),
+            revisions: BTreeMap::new(),
+            earliest: now,
             settled: now + LEASE_HELD,
             first: now.as_u64(),
             version: now.as_u64(),
@@ -98,18 +104,37 @@
             until: now + LEASE_HELD,
             changed,
         };
-        self.leases.insert(info.vm.clone(), lease);
+        *self.revisions.entry(revision).or_default() += 1;
+        if let Some(before) = self.leases.insert(info.vm.clone(), lease) {
+            self.uncount(before.revision);
+        }
+    }
+
+    fn uncount(&mut self, revision: Revision) {
+        if let Some(count) = self.revisions.get_mut(&revision) {
+            *count -= 1;
+            if *count == 0 {
+                self.revisions.remove(&revision);
+            }
+        }
     }
 
     /// Drops leases that have ended.
     pub fn expire(&mut self, now: Millis) {
+        if now <= self.earliest {
+            return;
+        }
         let ended = self.leases.iter().filter(|(_, lease)| lease.until < now);
         let ended: Vec<VmId> = ended.map(|(vm, _)| vm.clone()).collect();
         for vm in ended {
-            self.leases.remove(&vm);
+            if let Some(lease) = self.leases.remove(&vm) {
+                self.uncount(lease.revision);
+            }
             self.version += 1;
             self.gone.push_back((self.version, vm));
         }
+        let earliest = self.leases.values().map(|lease| lease.until).min();
+        self.earliest = earliest.unwrap_or(now);
         while self.gone.len() > GONE_KEPT {
             // Whoever has not heard of this one gets the whole list.
             self.first = self
@@ -143,8 +168,8 @@
         if now < self.settled {
             return None;
         }
-        let live = self.leases.values().filter(|lease| lease.until >= now);
-        let lowest = live.map(|lease| lease.revision).min();
+        // A lease that has ended and was not dropped yet can only make the answer too low.
+        let lowest = self.revisions.keys().next().copied();
         Some(lowest.unwrap_or(committed).min(committed))
     }
 
--- a/papayatray_core/tests/core/lease.rs
+++ b/papayatray_core/tests/core/lease.rs
@@ -93,6 +93,7 @@
     assert_eq!(book.in_force(Revision(2), later), Some(Revision(1)));
     let after = later + LEASE_HELD + Millis::new(1);
     book.renew(&info(1), Revision(2), after);
+    book.expire(after);
     assert_eq!(book.in_force(Revision(2), after), Some(Revision(2)));
 }
 
--- a/papayatray_wire/src/http/caller.rs
+++ b/papayatray_wire/src/http/caller.rs
@@ -59,6 +59,33 @@
 }
 
 impl ErrorCode {
+    /// Every code.
+    pub const ALL: [Self; 23] = [
+        Self::BadRequest,
+        Self::Unauthorized,
+        Self::NotAllowed,
+        Self::NotFound,
+        Self::MethodNotAllowed,
+        Self::TooLarge,
+        Self::VersionWithdrawn,
+        Self::BadSession,
+        Self::NoCapacity,
+        Self::Overloaded,
+        Self::TooManyInFlight,
+        Self::NoLease,
+        Self::Draining,
+        Self::InProgress,
+        Self::OutcomeUnknown,
+        Self::IdReused,
+        Self::AnswerGone,
+        Self::PoisonRequest,
+        Self::OnTrial,
+        Self::DeadlineExceeded,
+        Self::EndpointFailed,
+        Self::BillPending,
+        Self::NoQuorum,
+    ];
+
     /// Returns the code's name on the wire.
     pub const fn as_str(self) -> &'static str {
         match self {
--- /dev/null
+++ b/papayatray_wire/tests/wire.rs
@@ -0,0 +1,251 @@
+//! What comes from outside: frames, links and announcements, well formed or not.
+
+use std::net::SocketAddr;
+
+use papayatray_core::directory::Endpoint;
+use papayatray_core::id::Incarnation;
+use papayatray_core::id::Term;
+use papayatray_core::id::VmId;
+use papayatray_state::machine::Command;
+use papayatray_state::replica::Envelope;
+use papayatray_state::replica::Message;
+use papayatray_state::replica::ReplicaId;
+use papayatray_wire::http::Announcement;
+use papayatray_wire::http::AnnouncementError;
+use papayatray_wire::link::ClusterKey;
+use papayatray_wire::link::Frame;
+use papayatray_wire::link::LinkError;
+use papayatray_wire::link::accept;
+use papayatray_wire::link::connect;
+use papayatray_wire::peer::CallError;
+use papayatray_wire::peer::Method;
+use papayatray_wire::peer::Propose;
+use papayatray_wire::peer::decode_reply;
+use papayatray_wire::peer::encode_call;
+use proptest::prelude::any;
+use proptest::proptest;
+use smol::io::AsyncReadExt;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+
+const SECRET: &str = "sixteen bytes or more";
+
+fn envelope() -> Frame {
+    let name = |number| ReplicaId {
+        vm: VmId::new(format!("vm-{number}")).expect("a name"),
+        folder: Incarnation(number),
+    };
+    let message = Message::Stand { term: Term(7) };
+    Frame::Replica(Box::new(Envelope {
+        from: name(1),
+        to: name(2),
+        message,
+    }))
+}
+
+/// Returns the two ends of a connection over loopback.
+async fn pair() -> (TcpStream, TcpStream) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = TcpListener::bind(any).await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let near = TcpStream::connect(address).await.expect("a connection");
+    let (far, _) = listener.accept().await.expect("a connection");
+    (near, far)
+}
+
+#[test]
+fn frames_arrive_whole_and_in_order_in_both_directions() {
+    smol::block_on(async {
+        let (near, far) = pair().await;
+        let key = ClusterKey::new(SECRET);
+        let (near, far) = smol::future::zip(connect(near, &key), accept(far, &key)).await;
+        let (mut near_out, mut near_in) = near.expect("a link");
+        let (mut far_out, mut far_in) = far.expect("a link");
+        let frames = [
+            Frame::Rpc("one".to_owned()),
+            envelope(),
+            Frame::Rpc(String::new()),
+        ];
+        near_out.send(&frames).await.expect("sent");
+        far_out.send(&frames[..1]).await.expect("sent");
+        for frame in &frames {
+            assert_eq!(far_in.receive().await.expect("a frame"), *frame);
+        }
+        assert_eq!(near_in.receive().await.expect("a frame"), frames[0]);
+    });
+}
+
+#[test]
+fn end_without_the_key_is_refused_by_either_side() {
+    smol::block_on(async {
+        let (near, far) = pair().await;
+        let (own, other) = (
+            ClusterKey::new(SECRET),
+            ClusterKey::new("another secret of that length"),
+        );
+        let connecting = connect(near, &own);
+        let accepting = accept(far, &other);
+        let (near, far) = smol::future::zip(connecting, accepting).await;
+        assert!(matches!(near, Err(LinkError::Stranger)), "{near:?}");
+        assert!(far.is_err(), "{far:?}");
+    });
+}
+
+#[test]
+fn altered_frame_is_refused() {
+    smol::block_on(async {
+        // A relay in the middle turns one bit of the frame, after the handshake.
+        let (near, middle_near) = pair().await;
+        let (middle_far, far) = pair().await;
+        let relaying = smol::spawn(relay(middle_near, middle_far));
+        let key = ClusterKey::new(SECRET);
+        let (near, far) = smol::future::zip(connect(near, &key), accept(far, &key)).await;
+        let (mut out, _near_in) = near.expect("a link");
+        let (_far_out, mut incoming) = far.expect("a link");
+        out.send(&[Frame::Rpc("pay 100".to_owned())])
+            .await
+            .expect("sent");
+        let received = incoming.receive().await;
+        assert!(matches!(received, Err(LinkError::Altered)), "{received:?}");
+        drop(relaying);
+    });
+}
+
+/// Passes the handshake on, and then turns the last bit of what the connecting end sends.
+async fn relay(mut near: TcpStream, mut far: TcpStream) {
+    let mut buffer = [0; 48];
+    near.read_exact(&mut buffer[..16]).await.expect("a nonce");
+    far.write_all(&buffer[..16]).await.expect("passed on");
+    far.read_exact(&mut buffer[..48])
+        .await
+        .expect("a nonce and a proof");
+    near.write_all(&buffer[..48]).await.expect("passed on");
+    near.read_exact(&mut buffer[..32]).await.expect("a proof");
+    far.write_all(&buffer[..32]).await.expect("passed on");
+    let mut frame = vec![0; 4 + 16 + 8];
+    near.read_exact(&mut frame).await.expect("a frame");
+    *frame.last_mut().expect("a byte") ^= 1;
+    far.write_all(&frame).await.expect("passed on");
+    smol::future::pending::<()>().await;
+}
+
+fn announcement() -> Announcement {
+    Announcement {
+        id: "engine-1".to_owned(),
+        incarnation: 1,
+        sequence: 1,
+        address: "10.0.0.7:8000".to_owned(),
+        data_centre: "aviles".to_owned(),
+        versions: vec!["drafter@1".to_owned()],
+        service: None,
+        slots: 8,
+        fences: true,
+        running: 0,
+        waiting: 0,
+    }
+}
+
+#[test]
+fn announcement_with_a_fault_names_its_field() {
+    assert!(Endpoint::try_from(announcement()).is_ok());
+    let faults = [
+        (
+            Announcement {
+                address: "engine:8000".to_owned(),
+                ..announcement()
+            },
+            "address",
+        ),
+        (
+            Announcement {
+                slots: 0,
+                ..announcement()
+            },
+            "slots",
+        ),
+        (
+            Announcement {
+                id: String::new(),
+                ..announcement()
+            },
+            "id",
+        ),
+        (
+            Announcement {
+                versions: vec!["drafter".to_owned()],
+                ..announcement()
+            },
+            "versions",
+        ),
+        (
+            Announcement {
+                service: Some("wiki".to_owned()),
+                ..announcement()
+            },
+            "service",
+        ),
+        (
+            Announcement {
+                data_centre: "a b".to_owned(),
+                ..announcement()
+            },
+            "data_centre",
+        ),
+    ];
+    for (wire, field) in faults {
+        let error: AnnouncementError = Endpoint::try_from(wire).expect_err("a fault");
+        assert!(error.to_string().contains(field), "{error}");
+    }
+}
+
+#[test]
+fn refused_call_carries_its_code_and_message() {
+    let text = r#"{"jsonrpc":"2.0","id":7,"error":{"code":-32603,"message":"no role control"}}"#;
+    let (id, result) = decode_reply(text).expect("a reply");
+    assert_eq!(id, 7);
+    let refused = CallError::Refused {
+        code: -32603,
+        message: "no role control".to_owned(),
+    };
+    assert_eq!(result.expect_err("a refusal"), refused);
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_make_a_frame_or_an_error(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(frame) = Frame::from_bytes(&bytes) {
+            let again = Frame::from_bytes(&frame.to_bytes().expect("bytes")).expect("a frame");
+            assert_eq!(again, frame);
+        }
+    }
+
+    #[test]
+    fn any_text_makes_a_reply_or_an_error(text in "\\PC{0,200}") {
+        if let Err(error) = decode_reply(&text) {
+            assert!(matches!(error, CallError::Garbled(_)), "{error}");
+        }
+    }
+
+    #[test]
+    fn any_json_makes_an_announcement_or_an_error(id in "\\PC{0,40}", address in "\\PC{0,30}", slots in any::<u32>(), versions in proptest::collection::vec("\\PC{0,12}", 0..4)) {
+        let wire = Announcement { id, address, slots, versions, ..announcement() };
+        let text = serde_json::to_string(&wire).expect("JSON");
+        let read: Announcement = serde_json::from_str(&text).expect("its own JSON");
+        if let Ok(endpoint) = Endpoint::try_from(read) {
+            assert!(endpoint.address.parse::<SocketAddr>().is_ok());
+            assert!(endpoint.slots > 0);
+        }
+    }
+
+    #[test]
+    fn proposals_are_the_same_after_the_wire(fingerprint in any::<u128>()) {
+        let entry = VmId::new("vm-1").expect("a name");
+        let fingerprint = papayatray_core::id::Fingerprint(fingerprint);
+        let command = Command::Acquit { fingerprint, entry };
+        let text = encode_call(Method::Propose, &Propose { command: command.clone() }, 1);
+        let call: serde_json::Value = serde_json::from_str(&text.expect("text")).expect("JSON");
+        let read: Propose = serde_json::from_value(call["params"][0].clone()).expect("a proposal");
+        assert_eq!(read.command, command);
+    }
+}
