--- a/papayatray_bench/src/main.rs
+++ b/papayatray_bench/src/main.rs
@@ -89,8 +89,9 @@
         "propagation" => propagation::run(report).await?,
         "state" => state::memory(report)?,
         "all" => {
-            decisions::run(report);
+            // First of all: memory is read off the process, which must be fresh.
             state::memory(report)?;
+            decisions::run(report);
             state::recovery(report)?;
             log::run(report)?;
             propagation::run(report).await?;
--- a/papayatray_bench/src/plot.rs
+++ b/papayatray_bench/src/plot.rs
@@ -5,8 +5,11 @@
 
 use plotters::backend::SVGBackend;
 use plotters::chart::ChartBuilder;
+use plotters::chart::SeriesLabelPosition;
 use plotters::drawing::IntoDrawingArea;
+use plotters::element::PathElement;
 use plotters::series::LineSeries;
+use plotters::style::BLACK;
 use plotters::style::Color;
 use plotters::style::Palette;
 use plotters::style::Palette99;
@@ -15,6 +18,9 @@
 /// Size of a plot in pixels.
 const SIZE: (u32, u32) = (800, 480);
 
+/// Width of a curve's sign in the key, in pixels.
+const KEY_WIDTH: i32 = 24;
+
 /// Curve of a plot.
 #[derive(Clone, Debug)]
 pub(crate) struct Curve {
@@ -48,8 +54,15 @@
     for (number, curve) in curves.iter().enumerate() {
         let colour = Palette99::pick(number).mix(1.0);
         let series = LineSeries::new(curve.points.iter().copied(), &colour);
-        chart.draw_series(series)?.label(curve.name.clone());
+        let drawn = chart.draw_series(series)?.label(curve.name.clone());
+        drawn.legend(move |(x, y)| PathElement::new([(x, y), (x + KEY_WIDTH, y)], colour));
     }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::UpperLeft)
+        .background_style(WHITE)
+        .border_style(BLACK)
+        .draw()?;
     area.present()?;
     Ok(())
 }
