--- a/papayatray_bench/src/main.rs
+++ b/papayatray_bench/src/main.rs
@@ -10,6 +10,7 @@
 mod propagation;
 mod relay;
 mod report;
+mod serving;
 mod state;
 
 use std::process::Command;
@@ -25,7 +26,7 @@
         ///
         /// Exit codes: 0 all bounds hold; 1 a bound is broken or a run failed.
         cmd bench {
-            /// decisions, relay, idle, log, recovery, propagation, state or all.
+            /// decisions, relay, idle, log, recovery, propagation, state, many, failover or all.
             optional name: String
             /// File to which each measure is added as a JSON line.
             optional --json json: PathBuf
@@ -88,6 +89,8 @@
         "recovery" => state::recovery(report)?,
         "propagation" => propagation::run(report).await?,
         "state" => state::memory(report)?,
+        "many" => serving::many(report).await?,
+        "failover" => serving::failover(report).await?,
         "all" => {
             // First of all: memory is read off the process, which must be fresh.
             state::memory(report)?;
@@ -96,6 +99,8 @@
             log::run(report)?;
             propagation::run(report).await?;
             daemons::idle(report).await?;
+            serving::many(report).await?;
+            serving::failover(report).await?;
             relay::run(report).await?;
         }
         other => return Err(format!("no benchmark is called {other}").into()),
--- a/papayatray_bench/src/relay.rs
+++ b/papayatray_bench/src/relay.rs
@@ -28,7 +28,7 @@
 use crate::report::percentile;
 
 /// Key of the benchmark's organisation.
-const KEY: &str = "key-of-the-benchmark";
+pub(crate) const KEY: &str = "key-of-the-benchmark";
 /// Engines behind the entry.
 const ENGINES: usize = 4;
 /// Requests begun in a second, as the target asks of one node.
@@ -72,18 +72,10 @@
             ..EngineOptions::default()
         };
         let engine = Engine::start(options).await?;
-        let facts = Facts {
-            id: format!("engine-{number}"),
-            address: engine.address(),
-            data_centre: "palermo-a".to_owned(),
-            versions: vec!["drafter@1".to_owned()],
-            service: None,
-            slots: 200,
-        };
-        announcers.push(Announcer::start(facts, site.callers(), PLATFORM_KEY));
+        announcers.push(announce(&site, &engine, number, 200));
         engines.push(engine);
     }
-    wait_endpoints(&site).await?;
+    wait_endpoints(&site, ENGINES).await?;
     let addresses: Vec<SocketAddr> = engines.iter().map(Engine::address).collect();
     // The entry with no replica beside it, so that only the relay is measured.
     let entry = site.vms()[3].caller;
@@ -145,7 +137,26 @@
     }
 }
 
-async fn configure(site: &papayatray_standin::Site) -> Result<(), Box<dyn Error>> {
+/// Begins to announce an engine.
+pub(crate) fn announce(
+    site: &papayatray_standin::Site,
+    engine: &Engine,
+    number: usize,
+    slots: u32,
+) -> Announcer {
+    let facts = Facts {
+        id: format!("engine-{number}"),
+        address: engine.address(),
+        data_centre: "palermo-a".to_owned(),
+        versions: vec!["drafter@1".to_owned()],
+        service: None,
+        slots,
+    };
+    Announcer::start(facts, site.callers(), PLATFORM_KEY)
+}
+
+/// Offers one version to one organisation.
+pub(crate) async fn configure(site: &papayatray_standin::Site) -> Result<(), Box<dyn Error>> {
     let hash = papayatrayd::http::hash_key(KEY);
     let edits = json!([
         {"declare-version": {"version": "drafter@1", "price_in": 10, "price_out": 20, "prior": 900}},
@@ -158,10 +169,14 @@
     wait_in_force(site, revision).await
 }
 
-async fn wait_endpoints(site: &papayatray_standin::Site) -> Result<(), Box<dyn Error>> {
+/// Waits until the last entry knows `count` endpoints.
+pub(crate) async fn wait_endpoints(
+    site: &papayatray_standin::Site,
+    count: usize,
+) -> Result<(), Box<dyn Error>> {
     loop {
         let known = operate(site, 3, Method::Get, "endpoints", &Value::Null).await?;
-        if known.as_array().is_some_and(|all| all.len() == ENGINES) {
+        if known.as_array().is_some_and(|all| all.len() == count) {
             return Ok(());
         }
         Timer::after(Duration::from_millis(20)).await;
--- a/papayatray_core/src/catalogue/mod.rs
+++ b/papayatray_core/src/catalogue/mod.rs
@@ -4,6 +4,7 @@
 mod change;
 mod entry;
 mod error;
+mod rules;
 
 pub use book::Accepted;
 pub use book::ChangeBook;
--- a/papayatrayd/src/caller/ask.rs
+++ b/papayatrayd/src/caller/ask.rs
@@ -16,6 +16,7 @@
 use crate::entry::Entry;
 use crate::entry::Flight;
 use crate::entry::FlightError;
+use crate::entry::LeaderError;
 use crate::entry::Stop;
 use crate::entry::Use;
 use crate::http::Refused;
@@ -138,6 +139,13 @@
         Refused::new(code, message).about(self.key.request.as_str())
     }
 
+    /// Returns the refusal of an answer whose bill is not durable yet.
+    pub(super) fn bill_pending(&self, error: &LeaderError) -> Refused {
+        let message = format!("the bill is not durable yet: {error}; send the request again");
+        let refused = self.refuse(ErrorCode::BillPending, message);
+        refused.perhaps_run().retry_after(RUNNING_RETRY)
+    }
+
     /// Returns the priority that endpoints are told.
     pub(super) const fn priority(&self) -> &'static str {
         match self.class {
--- a/papayatrayd/src/caller/chat.rs
+++ b/papayatrayd/src/caller/chat.rs
@@ -244,14 +244,7 @@
             }
             None => self.ask.entry.billing.bill(bill).await,
         };
-        settled.map_err(|error| {
-            let message = format!("the bill is not durable yet: {error}; send the request again");
-            let refused = self
-                .ask
-                .refuse(ErrorCode::BillPending, message)
-                .perhaps_run();
-            refused.retry_after(super::ask::RUNNING_RETRY)
-        })
+        settled.map_err(|error| self.ask.bill_pending(&error))
     }
 
     /// Ends a chat that went well.
--- a/papayatrayd/src/peer/client.rs
+++ b/papayatrayd/src/peer/client.rs
@@ -42,6 +42,8 @@
 const PROBE_EVERY: Millis = Millis::new(500);
 /// Time within which a probe must be answered before a new connection is made.
 const PROBE_LIMIT: Millis = Millis::new(1_000);
+/// Number of the call that a probe makes; calls count up from 1 and never reach it.
+const PROBE_CALL: u64 = u64::MAX;
 /// Frames that may wait for a link.
 const QUEUE: usize = 4_096;
 /// Frames that are sent in one write.
@@ -54,7 +56,6 @@
 #[derive(Debug, Default)]
 struct Connection {
     waiting: Mutex<BTreeMap<u64, Waiter>>,
-    broken: AtomicBool,
 }
 
 impl Connection {
@@ -217,7 +218,6 @@
         let reading = read_replies(receiver, Arc::clone(&connection));
         let writing = self.write(first, sender, Arc::clone(&connection));
         reading.or(writing).await;
-        connection.broken.store(true, Ordering::Relaxed);
         connection.fail_all(&CallError::Silent);
     }
 
@@ -244,22 +244,14 @@
                 Err(_closed) => return,
             };
             if self.suspect.load(Ordering::Relaxed) {
-                self.give_back(next.take());
+                let error = CallError::Unreachable("the connection went silent".to_owned());
+                if let Some(outgoing) = next {
+                    fail(outgoing, &error);
+                }
                 return;
             }
         }
     }
-
-    /// Fails what came while the connection was found silent, so that its sender tries again.
-    #[expect(clippy::unused_self, reason = "belongs to the worker's connection")]
-    fn give_back(&self, outgoing: Option<Outgoing>) {
-        if let Some(outgoing) = outgoing {
-            fail(
-                outgoing,
-                &CallError::Unreachable("the connection went silent".to_owned()),
-            );
-        }
-    }
 }
 
 /// Probe of a link whose messages have no replies.
@@ -285,8 +277,7 @@
         if self.answer.is_some() || !is_due {
             return None;
         }
-        // Calls have odd and even numbers in turn; the highest ones are never reached.
-        let id = u64::MAX;
+        let id = PROBE_CALL;
         let text = encode_call(Method::Push, &papayatray_wire::peer::Push::default(), id).ok()?;
         let (waiter, answer) = channel::bounded(1);
         connection.waiting().insert(id, waiter);
