--- a/papayatray_standin/src/site.rs
+++ b/papayatray_standin/src/site.rs
@@ -9,6 +9,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,6 +27,12 @@
 const SECRET: &str = "secret of a site on loopback";
 /// Control replicas of a site.
 const REPLICAS: usize = 3;
+/// First port that daemons get; the system takes its own ports from 32,768 on.
+const FIRST_PORT: u16 = 12_000;
+/// Ports that daemons get.
+const PORTS: u16 = 20_000;
+/// Ports between the beginnings of two processes with neighbouring numbers.
+const PORT_STRIDE: u32 = 211;
 /// Pause between two looks at something awaited.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -82,13 +90,25 @@
     extra: String,
 }
 
-/// Returns a free address on loopback.
+/// Returns a free address on loopback that no outgoing connection takes in the meantime.
 ///
 /// # Errors
 ///
-/// Returns what the system said.
+/// Fails when no port is free.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?.local_addr()
+    // Each process begins elsewhere, and no port is given out twice.
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let begin = std::process::id().wrapping_mul(PORT_STRIDE) % u32::from(PORTS);
+    for _ in 0..PORTS {
+        let next = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
+        let offset = (begin + next) % u32::from(PORTS);
+        let port = FIRST_PORT + u16::try_from(offset).unwrap_or(0);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
 }
 
 impl Site {
