bench(spread): time until every entry knows an endpoint that came or left

Cause: the targets of 1 s and 2 s stood without a figure. Change: a benchmark over nine entries and twelve endpoints.

--- a/papayatray_bench/src/main.rs
+++ b/papayatray_bench/src/main.rs
@@ -26,7 +26,7 @@
         ///
         /// Exit codes: 0 all bounds hold; 1 a bound is broken or a run failed.
         cmd bench {
-            /// decisions, relay, idle, log, recovery, propagation, state, many, failover or all.
+            /// decisions, relay, idle, log, recovery, propagation, state, many, spread, failover or all.
             optional name: String
             /// File to which each measure is added as a JSON line.
             optional --json json: PathBuf
@@ -90,6 +90,7 @@
         "propagation" => propagation::run(report).await?,
         "state" => state::memory(report)?,
         "many" => serving::many(report).await?,
+        "spread" => serving::spread(report).await?,
         "failover" => serving::failover(report).await?,
         "all" => {
             // First of all: memory is read off the process, which must be fresh.
@@ -100,6 +101,7 @@
             propagation::run(report).await?;
             daemons::idle(report).await?;
             serving::many(report).await?;
+            serving::spread(report).await?;
             serving::failover(report).await?;
             relay::run(report).await?;
         }
--- a/papayatray_bench/src/serving.rs
+++ b/papayatray_bench/src/serving.rs
@@ -28,6 +28,8 @@
 const EACH: usize = 100;
 /// Tokens of an answer.
 const TOKENS: usize = 6;
+/// Endpoints that come and leave, one after another.
+const ENDPOINTS: usize = 12;
 /// Leaders that are killed, one after another.
 const KILLS: u64 = 5;
 
@@ -128,3 +130,53 @@
     report.add("failover", "most_ms", percentile(&mut times, 1.0));
     Ok(())
 }
+
+/// Times until all nine entries know of an endpoint that came, and of one that left.
+pub(crate) async fn spread(report: &mut Report) -> Result<(), Box<dyn Error>> {
+    let site = start_site("spread", 9).await?;
+    let (mut came, mut left) = (Vec::new(), Vec::new());
+    for number in 0..ENDPOINTS {
+        let versions = ["drafter@1".to_owned()].into();
+        let engine = Engine::start(EngineOptions {
+            versions,
+            ..EngineOptions::default()
+        })
+        .await?;
+        let begin = Instant::now();
+        let announcer = announce(&site, &engine, number, 8);
+        let id = format!("engine-{number}");
+        wait_everywhere(&site, &id, |endpoint| endpoint["leaving"] == false).await?;
+        came.push(begin.elapsed().as_secs_f64() * 1_000.0);
+        let begin = Instant::now();
+        announcer.leave(number % 9).await?;
+        wait_everywhere(&site, &id, |endpoint| endpoint["leaving"] != false).await?;
+        left.push(begin.elapsed().as_secs_f64() * 1_000.0);
+    }
+    report.add("spread", "newcomer_most_ms", percentile(&mut came, 1.0));
+    report.add("spread", "leaver_most_ms", percentile(&mut left, 1.0));
+    Ok(())
+}
+
+/// Waits until every entry shows an endpoint as wanted.
+async fn wait_everywhere<F>(
+    site: &papayatray_standin::Site,
+    id: &str,
+    is_wanted: F,
+) -> Result<(), Box<dyn Error>>
+where
+    F: Fn(&serde_json::Value) -> bool,
+{
+    for vm in 0..site.vms().len() {
+        loop {
+            let all = operate(site, vm, Method::Get, "endpoints", &json!(null)).await?;
+            let own = all
+                .as_array()
+                .and_then(|all| all.iter().find(|e| e["id"] == id));
+            if own.is_some_and(&is_wanted) {
+                break;
+            }
+            Timer::after(Duration::from_millis(2)).await;
+        }
+    }
+    Ok(())
+}
