feat(placement): entries know which beginnings are kept, and do not all send to one endpoint

And all entries compared all endpoints by the loads of the last exchange, so that several met at the one that looked idlest.

Entries tell the leader which beginnings their requests made endpoints read, and hear those of the others; an unread beginning counts with its whole reading time, in what is expected and in the work counted at the endpoint. Each request compares only its entry's share of the endpoints, at least three, and those that keep its beginning.

Tests: a request follows its beginning to any endpoint; unread beginnings are expected as such; of 60 requests that work by the same loads 3 to 20 meet at the idle endpoint (all 60 where every endpoint is compared). The older test of a warm endpoint now says that it is warm; it was taken for warm by its place alone.

--- a/papayatray_core/src/gateway/mod.rs
+++ b/papayatray_core/src/gateway/mod.rs
@@ -6,9 +6,11 @@
 pub mod access;
 pub mod arrivals;
 pub mod crashes;
+pub mod notes;
 pub mod placement;
 pub mod plan;
 pub mod rollout;
 pub mod sizing;
 pub mod speed;
 pub mod table;
+pub mod warmth;
--- /dev/null
+++ b/papayatray_core/src/gateway/notes.rs
@@ -0,0 +1,79 @@
+//! Notes: bounded, numbered logs of what processes tell one another, each note once.
+
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Notes that follow one another, the last of them with a number.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Numbered<T> {
+    /// Number of the last note.
+    pub upto: u64,
+    /// The notes in order.
+    pub notes: Vec<T>,
+}
+
+impl<T> Default for Numbered<T> {
+    fn default() -> Self {
+        Self {
+            upto: 0,
+            notes: Vec::new(),
+        }
+    }
+}
+
+impl<T> Numbered<T> {
+    /// Returns the notes that are newer than number `seen`.
+    pub fn since(&self, seen: u64) -> impl Iterator<Item = &T> {
+        self.notes
+            .iter()
+            .skip(known(self.upto, self.notes.len(), seen))
+    }
+}
+
+/// Log of the last notes; numbers begin at one.
+#[derive(Clone, Debug)]
+pub struct Notes<T> {
+    kept: VecDeque<T>,
+    most: usize,
+    upto: u64,
+}
+
+impl<T> Notes<T> {
+    /// Creates a log that keeps the last `most` notes.
+    pub const fn new(most: usize) -> Self {
+        Self {
+            kept: VecDeque::new(),
+            most,
+            upto: 0,
+        }
+    }
+
+    /// Returns the number of the last note, or zero.
+    pub const fn upto(&self) -> u64 {
+        self.upto
+    }
+
+    /// Adds a note; the oldest one makes room.
+    pub fn push(&mut self, note: T) {
+        if self.kept.len() >= self.most {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(note);
+        self.upto += 1;
+    }
+
+    /// Returns the notes that are kept and newer than number `seen`, in order.
+    pub fn since(&self, seen: u64) -> impl Iterator<Item = &T> {
+        self.kept
+            .iter()
+            .skip(known(self.upto, self.kept.len(), seen))
+    }
+}
+
+/// Returns how many of the `kept` notes up to number `upto` are not newer than `seen`.
+fn known(upto: u64, kept: usize, seen: u64) -> usize {
+    let new = usize::try_from(upto.saturating_sub(seen)).unwrap_or(usize::MAX);
+    kept.saturating_sub(new)
+}
--- a/papayatray_core/src/gateway/placement.rs
+++ b/papayatray_core/src/gateway/placement.rs
@@ -2,8 +2,11 @@
 //!
 //! Load it answers: prompts of very unlike length that share long beginnings, so that one long
 //! prompt holds up all behind it, while many entries see the same lagging counts. Requests with a
-//! common beginning go to the same endpoint at every entry without any exchange, as long as the
-//! wait there is not longer than reading the beginning anew elsewhere.
+//! common beginning go where it is known to be kept, as long as the wait there is not longer than
+//! reading it anew elsewhere. Where it is kept nowhere, all entries lean to the same endpoint, so
+//! that those who ask at the same moment meet there.
+
+use std::cmp::Reverse;
 
 use crate::health::Standing;
 use crate::id::EndpointId;
@@ -24,8 +27,14 @@
 ///
 /// It keeps long prompts together, away from endpoints where many streams are on their way.
 const HARM: f64 = 0.3;
-/// Part of a shared beginning that the second choice for it has likely kept.
-const SECOND_WARM: f64 = 0.5;
+/// Part of reading a beginning by which entries lean to the same endpoint while none keeps it.
+const LEAN: f64 = 0.7;
+
+/// Fewest endpoints among which waits are compared: two to four random ones balance nearly as well
+/// as all.
+const COMPARED_LEAST: usize = 3;
+/// Share of failures from which an endpoint is compared only after sound ones.
+const FAILING_SHARE: f64 = 0.2;
 
 /// Work that requests still have to do at an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -36,6 +45,17 @@
     pub reading: f64,
 }
 
+/// What is known of an endpoint beside its work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// Nothing that speaks against it.
+    Steady,
+    /// It is still slow after its start.
+    Starting,
+    /// It has missed its heartbeats.
+    Silent,
+}
+
 /// Endpoint that may be picked.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
@@ -49,14 +69,14 @@
     pub others: Backlog,
     /// Whether it stands in the entry's data centre.
     pub is_near: bool,
-    /// Whether it is still slow after its start.
-    pub is_cold: bool,
-    /// Whether it has missed its heartbeats.
-    pub is_silent: bool,
+    /// What is known of it beside its work.
+    pub condition: Condition,
     /// Standing by its health.
     pub standing: Standing,
     /// Share of its requests that failed lately.
     pub failures: f64,
+    /// Whether it keeps the beginning of the request's prompt.
+    pub is_warm: bool,
 }
 
 impl Candidate<'_> {
@@ -74,13 +94,16 @@
         if !self.is_near {
             wait += FAR;
         }
-        if self.is_cold {
-            wait += COLD;
+        wait + match self.condition {
+            Condition::Steady => 0.0,
+            Condition::Starting => COLD,
+            Condition::Silent => SILENT,
         }
-        if self.is_silent {
-            wait += SILENT;
-        }
-        wait
+    }
+
+    /// Tells whether nothing speaks against the endpoint but its work.
+    fn is_sound(&self) -> bool {
+        self.condition == Condition::Steady && self.failures < FAILING_SHARE
     }
 
     const fn is_open(&self) -> bool {
@@ -117,34 +140,51 @@
     pub id: &'a EndpointId,
     /// Milliseconds until the first event is expected.
     pub expected: f64,
+    /// Whether the endpoint keeps the beginning of the prompt.
+    pub is_warm: bool,
 }
 
-/// Picks an endpoint; `draw` breaks ties.
+/// Picks an endpoint; `draw` breaks ties, `entries` tells how many place requests at once.
+///
+/// All entries work by counts that are as old as the last exchange. Were each to compare all
+/// endpoints, they would all send to the one that looked idlest then; so each request compares its
+/// share of them only, and those that keep its beginning.
 ///
 /// Where all candidates are set aside, the best of them is picked: a fault that all share is not
 /// theirs.
-pub fn pick<'a>(candidates: &[Candidate<'a>], work: &Work, draw: u64) -> Option<Pick<'a>> {
+pub fn pick<'a>(
+    candidates: &[Candidate<'a>],
+    work: &Work,
+    entries: usize,
+    draw: u64,
+) -> Option<Pick<'a>> {
     let open: Vec<&Candidate<'a>> = candidates.iter().filter(|c| c.is_open()).collect();
     let all: Vec<&Candidate<'a>> = candidates.iter().collect();
     let mut usable = if open.is_empty() { all } else { open };
     let key = work.prefix.map_or(draw, |prefix| prefix.digest);
-    usable.sort_by_cached_key(|c| std::cmp::Reverse(weight(key, c.id)));
+    usable.sort_by_cached_key(|c| (!c.is_sound(), Reverse(weight(key, c.id))));
+    let compared = usable.len().div_ceil(entries.max(1)).max(COMPARED_LEAST);
     let shared = work.prefix.map_or(0.0, |prefix| prefix.reading);
-    let costs = usable.iter().enumerate().map(|(place, candidate)| {
-        let cold = match place {
-            0 => 0.0,
-            1 => shared * (1.0 - SECOND_WARM),
-            _ => shared,
-        };
-        let reading = work.reading + cold;
+    let leaned = if usable.iter().any(|c| c.is_warm) {
+        0.0
+    } else {
+        shared * LEAN
+    };
+    let near = usable.iter().enumerate();
+    let near = near.filter(|(place, candidate)| *place < compared || candidate.is_warm);
+    let costs = near.map(|(place, candidate)| {
+        let anew = if candidate.is_warm { 0.0 } else { shared };
+        let reading = work.reading + anew;
         let expected = candidate.wait() + reading;
         let harm = reading * f64::from(candidate.running()) * HARM;
-        (candidate, expected, expected + harm)
+        let lean = if place == 0 { leaned } else { 0.0 };
+        (candidate, expected, expected + harm - lean)
     });
     let best = costs.min_by(|a, b| a.2.total_cmp(&b.2));
     best.map(|(candidate, expected, _)| Pick {
         id: candidate.id,
         expected,
+        is_warm: candidate.is_warm,
     })
 }
 
--- a/papayatray_core/tests/core/gateway_placement.rs
+++ b/papayatray_core/tests/core/gateway_placement.rs
@@ -4,6 +4,7 @@
 use papayatray_core::gateway::placement;
 use papayatray_core::gateway::placement::Backlog;
 use papayatray_core::gateway::placement::Candidate;
+use papayatray_core::gateway::placement::Condition;
 use papayatray_core::gateway::placement::SharedPrefix;
 use papayatray_core::gateway::placement::Work;
 use papayatray_core::gateway::sizing::Progress;
@@ -25,10 +26,10 @@
         own: Backlog::default(),
         others: Backlog::default(),
         is_near: true,
-        is_cold: false,
-        is_silent: false,
+        condition: Condition::Steady,
         standing: Standing::Normal,
         failures: 0.0,
+        is_warm: false,
     }
 }
 
@@ -45,7 +46,7 @@
         prefix,
         reading: 0.0,
     };
-    placement::pick(candidates, &work, draw).map(|pick| pick.id)
+    placement::pick(candidates, &work, 1, draw).map(|pick| pick.id)
 }
 
 #[test]
@@ -59,7 +60,7 @@
             prefix: None,
             reading,
         };
-        placement::pick(&candidates, &work, 1).map(|pick| pick.id)
+        placement::pick(&candidates, &work, 1, 1).map(|pick| pick.id)
     };
     assert_eq!(of(5.0), Some(&ids[0]), "a short one does little harm");
     assert_eq!(of(800.0), Some(&ids[1]), "a long one delays twenty streams");
@@ -94,12 +95,65 @@
     let shared = Some(prefix(7, 200.0));
     let home = pick(&candidates, shared, 0).unwrap().clone();
     let at = candidates.iter().position(|c| *c.id == home).unwrap();
+    candidates[at].is_warm = true;
     candidates[at].own.reading = 90.0;
     assert_eq!(pick(&candidates, shared, 0), Some(&home));
     candidates[at].others.reading = 300.0;
     assert_ne!(pick(&candidates, shared, 0), Some(&home));
 }
 
+#[test]
+fn request_follows_its_beginning_to_any_endpoint() {
+    let ids = ids(18);
+    for at in 0..ids.len() {
+        let mut candidates: Vec<_> = ids.iter().map(idle).collect();
+        candidates[at].is_warm = true;
+        candidates[at].own.reading = 100.0;
+        assert_eq!(pick(&candidates, Some(prefix(7, 200.0)), 0), Some(&ids[at]));
+    }
+}
+
+#[test]
+fn reading_a_beginning_anew_is_expected_unless_it_is_kept() {
+    let ids = ids(4);
+    let mut candidates: Vec<_> = ids.iter().map(idle).collect();
+    let work = Work {
+        prefix: Some(prefix(7, 600.0)),
+        reading: 100.0,
+    };
+    let cold = placement::pick(&candidates, &work, 1, 0).unwrap();
+    assert!((cold.expected - 700.0).abs() < 1.0, "{cold:?}");
+    for candidate in &mut candidates {
+        candidate.is_warm = true;
+    }
+    let warm = placement::pick(&candidates, &work, 1, 0).unwrap();
+    assert!((warm.expected - 100.0).abs() < 1.0, "{warm:?}");
+}
+
+/// Plays entries that all work by the loads of the last exchange, when one endpoint fell idle.
+///
+/// The baseline takes the endpoint with the shortest wait, as every entry sees it.
+#[test]
+fn entries_with_the_same_loads_do_not_all_send_to_one_endpoint() {
+    let ids = ids(18);
+    let mut candidates: Vec<_> = ids.iter().map(idle).collect();
+    for (at, candidate) in candidates.iter_mut().enumerate() {
+        candidate.others.reading = 200.0 + 10.0 * at as f64;
+    }
+    candidates[5].others.reading = 0.0;
+    let sent = 60;
+    let to_idle = (0..sent).filter(|n| {
+        let work = Work {
+            prefix: Some(prefix(*n, 50.0)),
+            reading: 50.0,
+        };
+        placement::pick(&candidates, &work, 7, *n).is_some_and(|pick| *pick.id == ids[5])
+    });
+    // By the baseline all 60 would meet there.
+    let to_idle = to_idle.count();
+    assert!((3..=20).contains(&to_idle), "{to_idle}");
+}
+
 #[test]
 fn short_request_does_not_queue_behind_a_long_prompt() {
     let ids = ids(2);
@@ -122,8 +176,8 @@
     let ids = ids(4);
     let mut candidates: Vec<_> = ids.iter().map(idle).collect();
     candidates[0].failures = 0.4;
-    candidates[1].is_silent = true;
-    candidates[2].is_cold = true;
+    candidates[1].condition = Condition::Silent;
+    candidates[2].condition = Condition::Starting;
     for draw in 0..20 {
         assert_eq!(pick(&candidates, None, draw), Some(&ids[3]));
     }
--- /dev/null
+++ b/papayatray_core/tests/core/gateway_warmth.rs
@@ -0,0 +1,118 @@
+//! Beginnings of prompts that endpoints keep, and notes about them between processes.
+
+use papayatray_core::clock::Millis;
+use papayatray_core::gateway::notes::Notes;
+use papayatray_core::gateway::notes::Numbered;
+use papayatray_core::gateway::warmth::KEPT;
+use papayatray_core::gateway::warmth::WarmPrefix;
+use papayatray_core::gateway::warmth::Warmth;
+use papayatray_core::id::EndpointId;
+
+fn id(name: &str) -> EndpointId {
+    EndpointId::new(name.to_owned()).unwrap()
+}
+
+fn read(digest: u64, name: &str) -> WarmPrefix {
+    WarmPrefix {
+        digest,
+        endpoint: id(name),
+    }
+}
+
+#[test]
+fn endpoint_keeps_what_it_has_read_for_a_while() {
+    let mut warmth = Warmth::default();
+    let begin = Millis::from_secs(5);
+    assert!(warmth.note(&read(1, "a"), begin));
+    let late = begin + Millis::new(KEPT.as_u64() - 1);
+    assert!(warmth.is_warm(1, &id("a"), late));
+    assert!(!warmth.is_warm(1, &id("b"), late));
+    assert!(!warmth.is_warm(2, &id("a"), late));
+    assert!(!warmth.is_warm(1, &id("a"), begin + KEPT));
+}
+
+#[test]
+fn use_makes_it_kept_longer_and_is_passed_on_now_and_then() {
+    let mut warmth = Warmth::default();
+    let half = Millis::new(KEPT.as_u64() / 2);
+    assert!(warmth.note(&read(1, "a"), Millis::ZERO));
+    assert!(!warmth.note(&read(1, "a"), Millis::new(100)));
+    let later = half + Millis::new(200);
+    assert!(warmth.note(&read(1, "a"), later));
+    assert!(warmth.is_warm(1, &id("a"), KEPT + Millis::new(300)));
+}
+
+#[test]
+fn popular_beginning_is_kept_at_several_endpoints() {
+    let mut warmth = Warmth::default();
+    for name in ["a", "b", "c"] {
+        warmth.note(&read(1, name), Millis::ZERO);
+    }
+    for name in ["a", "b", "c"] {
+        assert!(warmth.is_warm(1, &id(name), Millis::new(1)));
+    }
+    // Beyond a few, the least lately noted is left out.
+    for n in 0..10 {
+        warmth.note(&read(1, &format!("x{n}")), Millis::new(2));
+    }
+    assert!(!warmth.is_warm(1, &id("a"), Millis::new(3)));
+    assert!(warmth.is_warm(1, &id("x9"), Millis::new(3)));
+}
+
+#[test]
+fn endpoint_that_starts_anew_keeps_nothing() {
+    let mut warmth = Warmth::default();
+    warmth.note(&read(1, "a"), Millis::ZERO);
+    warmth.note(&read(1, "b"), Millis::ZERO);
+    warmth.forget(&id("a"));
+    assert!(!warmth.is_warm(1, &id("a"), Millis::new(1)));
+    assert!(warmth.is_warm(1, &id("b"), Millis::new(1)));
+}
+
+#[test]
+fn memory_of_beginnings_is_bounded() {
+    let mut warmth = Warmth::default();
+    for digest in 0..100_000 {
+        warmth.note(&read(digest, "a"), Millis::new(digest / 100));
+    }
+    assert!(warmth.count() <= 2_048, "{}", warmth.count());
+    assert!(warmth.is_warm(99_999, &id("a"), Millis::new(1_000)));
+    // The same beginning over and over, as with one key that gets much of the traffic.
+    let mut warmth = Warmth::default();
+    for round in 0..100_000 {
+        warmth.note(&read(7, "a"), Millis::new(round));
+        assert!(warmth.is_warm(7, &id("a"), Millis::new(round)));
+    }
+    assert_eq!(warmth.count(), 1);
+}
+
+#[test]
+fn each_note_is_given_once_to_those_who_ask_for_what_is_new() {
+    let mut notes = Notes::new(4);
+    assert_eq!(notes.since(0).count(), 0);
+    for n in 1..=3 {
+        notes.push(n);
+    }
+    assert_eq!(notes.since(0).copied().collect::<Vec<_>>(), [1, 2, 3]);
+    assert_eq!(notes.since(2).copied().collect::<Vec<_>>(), [3]);
+    assert_eq!(notes.since(notes.upto()).count(), 0);
+    for n in 4..=9 {
+        notes.push(n);
+    }
+    // Of those that were dropped meanwhile nothing is said.
+    assert_eq!(notes.since(3).copied().collect::<Vec<_>>(), [6, 7, 8, 9]);
+    // A reader that has seen the numbers of an earlier process is told nothing older.
+    assert_eq!(notes.since(100).count(), 0);
+}
+
+#[test]
+fn notes_sent_again_are_taken_once() {
+    let sent = Numbered {
+        upto: 12,
+        notes: vec!["j", "k", "l"],
+    };
+    assert_eq!(sent.since(0).count(), 3);
+    assert_eq!(sent.since(10).copied().collect::<Vec<_>>(), ["k", "l"]);
+    assert_eq!(sent.since(12).count(), 0);
+    assert_eq!(sent.since(40).count(), 0);
+}
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -13,6 +13,7 @@
 mod gateway_placement;
 mod gateway_plan;
 mod gateway_rollout;
+mod gateway_warmth;
 mod health;
 mod lease;
 mod orders;
--- a/papayatray_wire/src/peer/gateway.rs
+++ b/papayatray_wire/src/peer/gateway.rs
@@ -3,8 +3,10 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::directory::Endpoint;
 use papayatray_core::gateway::crashes::Suspect;
+use papayatray_core::gateway::notes::Numbered;
 use papayatray_core::gateway::plan::Plan;
 use papayatray_core::gateway::rollout::RolloutBook;
+use papayatray_core::gateway::warmth::WarmPrefix;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::PlanVersion;
@@ -15,7 +17,7 @@
 use serde::Serialize;
 
 /// Time for which a control replica holds the answer to a sync while nothing is new.
-pub const SYNC_HOLD: Millis = Millis::new(400);
+pub const SYNC_HOLD: Millis = Millis::new(200);
 
 /// Place in the news of one process of a control replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +39,8 @@
     pub entries: u64,
     /// Version of the roll-outs.
     pub rollouts: u64,
+    /// Number of the last note on warm beginnings, of the process that `news` names.
+    pub warm: u64,
 }
 
 /// What a release of a service did at one entry since that entry started.
@@ -74,6 +78,8 @@
     pub loads: Vec<EndpointLoad>,
     /// Requests whose endpoints crashed while they ran them, as this entry has seen it.
     pub suspects: Vec<Suspect>,
+    /// Beginnings of prompts that this entry's requests made endpoints read, by number.
+    pub warm: Numbered<WarmPrefix>,
 }
 
 /// Departure of an endpoint.
@@ -123,6 +129,9 @@
     pub loads: Option<Vec<EndpointLoad>>,
     /// Suspects of all entries that ask this replica.
     pub suspects: Vec<Suspect>,
+    /// Beginnings of prompts that other entries' requests made endpoints read; only from the
+    /// leader.
+    pub warm: Option<Numbered<WarmPrefix>>,
 }
 
 /// Request of [`Method::Spread`](super::Method::Spread): a departure, from one control replica to
--- a/papayatrayd/src/gateway/agent.rs
+++ b/papayatrayd/src/gateway/agent.rs
@@ -40,6 +40,10 @@
 #[derive(Debug, Default)]
 struct Contact {
     cursor: Cursor,
+    /// Number of the last note on warm beginnings that it has told.
+    warm: u64,
+    /// Number of the last own note that it has taken.
+    told: u64,
     is_reached: bool,
     pause: Millis,
 }
@@ -89,6 +93,7 @@
             };
             match call.or(changed).await {
                 Some(Ok(synced)) => {
+                    contact.told = request.warm.upto;
                     self.take(&address, &mut contact, synced, asked);
                     contact.note_reached(&address);
                 }
@@ -104,6 +109,10 @@
 
     fn request(&self, address: &str, contact: &Contact) -> SyncRequest {
         let gateway = &self.gateway;
+        let (loads, warm) = {
+            let fleet = gateway.fleet();
+            (fleet.loads(), fleet.warm_since(contact.told))
+        };
         SyncRequest {
             info: gateway.info(),
             seen: GatewaySeen {
@@ -113,15 +122,23 @@
                 news: contact.cursor,
                 entries: gateway.entries_version(address),
                 rollouts: gateway.rollouts().changes(),
+                warm: contact.warm,
             },
             tallies: gateway.tallies(),
-            loads: gateway.fleet().loads(),
+            loads,
             suspects: gateway.suspects(),
+            warm,
         }
     }
 
     fn take(self: &Arc<Self>, address: &str, contact: &mut Contact, synced: Synced, asked: Millis) {
+        if contact.cursor.incarnation != synced.news.upto.incarnation {
+            contact.warm = 0;
+        }
         contact.cursor = synced.news.upto;
+        if let Some(warm) = &synced.warm {
+            contact.warm = warm.upto;
+        }
         let controls = synced.controls.clone();
         self.gateway.take_synced(address, synced, asked);
         self.learn(&controls);
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -73,12 +73,13 @@
 
 impl InFlight {
     fn new(gateway: &Arc<Gateway>, choice: Choice, prompt: Prompt) -> Self {
-        let reading = gateway.fleet().begin(&choice, &prompt);
+        let begun = gateway.clock.now();
+        let reading = gateway.fleet().begin(&choice, &prompt, begun);
         Self {
             prompt,
             reading,
+            begun,
             gateway: Arc::clone(gateway),
-            begun: gateway.clock.now(),
             choice,
         }
     }
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -6,14 +6,19 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::directory::Directory;
 use papayatray_core::directory::Endpoint;
+use papayatray_core::gateway::notes::Notes;
+use papayatray_core::gateway::notes::Numbered;
 use papayatray_core::gateway::placement;
 use papayatray_core::gateway::placement::Backlog;
 use papayatray_core::gateway::placement::Candidate;
+use papayatray_core::gateway::placement::Condition;
 use papayatray_core::gateway::placement::Pick;
 use papayatray_core::gateway::placement::SharedPrefix;
 use papayatray_core::gateway::placement::Work;
 use papayatray_core::gateway::rollout::ReleaseStanding;
 use papayatray_core::gateway::speed::ReadingSpeed;
+use papayatray_core::gateway::warmth::WarmPrefix;
+use papayatray_core::gateway::warmth::Warmth;
 use papayatray_core::health::Health;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::EndpointId;
@@ -24,6 +29,9 @@
 
 /// Missed heartbeats, in heartbeat times, after which an endpoint counts as silent.
 const SILENT_BEATS: u64 = 4;
+/// Notes on warm beginnings that are kept until the control replicas have taken them: some seconds'
+/// worth of an entry's requests.
+const WARM_NOTES: usize = 256;
 
 /// Endpoint that was picked.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +48,8 @@
     pub release: String,
     /// Milliseconds until the first event is expected.
     pub expected: u32,
+    /// Tokens of the prompt that the endpoint has to read.
+    pub unread: u32,
 }
 
 /// Wish for an endpoint.
@@ -54,6 +64,8 @@
     pub(super) near: &'a DataCentre,
     /// How far each release may be used.
     pub(super) standing: &'a dyn Fn(&str) -> ReleaseStanding,
+    /// Entries that place requests.
+    pub(super) entries: usize,
     /// Requests that this entry may have at one endpoint.
     pub(super) most: u32,
 }
@@ -72,12 +84,15 @@
 }
 
 /// Endpoints with this entry's own counts and experience.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Fleet {
     directory: Directory,
     own: BTreeMap<EndpointId, Backlog>,
     others: BTreeMap<EndpointId, Backlog>,
     speed: ReadingSpeed,
+    warmth: Warmth,
+    /// What other entries are to hear of `warmth`.
+    warm_notes: Notes<WarmPrefix>,
     health: BTreeMap<ServiceId, Health>,
     heartbeat: Millis,
 }
@@ -86,7 +101,13 @@
     pub(super) fn new(heartbeat: Millis) -> Self {
         Self {
             heartbeat,
-            ..Self::default()
+            directory: Directory::default(),
+            own: BTreeMap::new(),
+            others: BTreeMap::new(),
+            speed: ReadingSpeed::default(),
+            warmth: Warmth::default(),
+            warm_notes: Notes::new(WARM_NOTES),
+            health: BTreeMap::new(),
         }
     }
 
@@ -119,6 +140,7 @@
         for health in self.health.values_mut() {
             health.forget(id);
         }
+        self.warmth.forget(id);
     }
 
     /// Takes in the work of other entries' requests.
@@ -133,6 +155,21 @@
         self.others = backlogs.collect();
     }
 
+    /// Takes in which beginnings other entries' requests made endpoints read.
+    pub(super) fn take_warm(&mut self, notes: &[WarmPrefix], now: Millis) {
+        for read in notes {
+            self.warmth.note(read, now);
+        }
+    }
+
+    /// Returns which beginnings this entry's requests made endpoints read after note `told`.
+    pub(super) fn warm_since(&self, told: u64) -> Numbered<WarmPrefix> {
+        Numbered {
+            upto: self.warm_notes.upto(),
+            notes: self.warm_notes.since(told).cloned().collect(),
+        }
+    }
+
     /// Returns the work of this entry's requests.
     pub(super) fn loads(&self) -> Vec<EndpointLoad> {
         let busy = self.own.iter().filter(|(_, own)| own.running > 0);
@@ -169,8 +206,8 @@
         };
         for candidates in [&mut preferred, &mut spare] {
             candidates.retain(|candidate| candidate.own.running < wish.most);
-            if let Some(pick) = placement::pick(candidates, &work, wish.draw) {
-                return self.choice(&pick);
+            if let Some(pick) = placement::pick(candidates, &work, wish.entries, wish.draw) {
+                return self.choice(&pick, prompt);
             }
         }
         None
@@ -192,22 +229,37 @@
             own: self.own.get(id).copied().unwrap_or_default(),
             others: self.others.get(id).copied().unwrap_or_default(),
             is_near: endpoint.data_centre == *wish.near,
-            is_cold: endpoint.cold > now.since(heard),
-            is_silent: now.since(heard).as_u64() > silent,
+            condition: if now.since(heard).as_u64() > silent {
+                Condition::Silent
+            } else if endpoint.cold > now.since(heard) {
+                Condition::Starting
+            } else {
+                Condition::Steady
+            },
             standing: health.map_or(papayatray_core::health::Standing::Normal, |own| {
                 own.standing(id, now)
             }),
             failures: health.map_or(0.0, |own| own.failures(id)),
+            is_warm: wish
+                .prompt
+                .shared
+                .is_some_and(|digest| self.warmth.is_warm(digest, id, now)),
         }
     }
 
-    fn choice(&self, pick: &Pick<'_>) -> Option<Choice> {
+    fn choice(&self, pick: &Pick<'_>, prompt: &Prompt) -> Option<Choice> {
         let endpoint = self.directory.get(pick.id)?;
         let papayatray_core::directory::Offer::Service(service) = &endpoint.offer else {
             return None;
         };
+        let anew = if pick.is_warm {
+            0
+        } else {
+            prompt.shared_tokens
+        };
         Some(Choice {
             id: pick.id.clone(),
+            unread: prompt.own_tokens.saturating_add(anew),
             expected: whole(pick.expected),
             incarnation: endpoint.incarnation,
             address: endpoint.address.parse().ok()?,
@@ -217,10 +269,19 @@
     }
 
     /// Counts a request that is sent to `id`; returns the milliseconds of reading it adds.
-    pub(super) fn begin(&mut self, choice: &Choice, prompt: &Prompt) -> f64 {
-        // The shared beginning is mostly kept where placement sends it.
-        let tokens = prompt.own_tokens;
-        let reading = self.speed.reading(&choice.service, prompt.size, tokens);
+    pub(super) fn begin(&mut self, choice: &Choice, prompt: &Prompt, now: Millis) -> f64 {
+        if let Some(digest) = prompt.shared {
+            let read = WarmPrefix {
+                digest,
+                endpoint: choice.id.clone(),
+            };
+            if self.warmth.note(&read, now) {
+                self.warm_notes.push(read);
+            }
+        }
+        let reading = self
+            .speed
+            .reading(&choice.service, prompt.size, choice.unread);
         let own = self.own.entry(choice.id.clone()).or_default();
         own.running += 1;
         own.reading += reading;
@@ -236,9 +297,8 @@
 
     /// Learns from the time to a first event.
     pub(super) fn learn(&mut self, choice: &Choice, prompt: &Prompt, latency: Millis) {
-        let tokens = prompt.own_tokens;
         self.speed
-            .learn(&choice.service, prompt.size, tokens, latency);
+            .learn(&choice.service, prompt.size, choice.unread, latency);
     }
 
     /// Notes that a request has ended.
--- a/papayatrayd/src/gateway/hub.rs
+++ b/papayatrayd/src/gateway/hub.rs
@@ -14,8 +14,11 @@
 use papayatray_core::directory::Directory;
 use papayatray_core::directory::Endpoint;
 use papayatray_core::gateway::crashes::CrashBook;
+use papayatray_core::gateway::notes::Notes;
+use papayatray_core::gateway::notes::Numbered;
 use papayatray_core::gateway::plan::Plan;
 use papayatray_core::gateway::rollout::RolloutBook;
+use papayatray_core::gateway::warmth::WarmPrefix;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::PlanVersion;
@@ -47,6 +50,9 @@
 const RENEWED_KEPT: Millis = Millis::new(800);
 /// Departures that are remembered for entries that ask late.
 const DEPARTURES: usize = 1_024;
+/// Notes on warm beginnings that are remembered for entries that ask late: some seconds' worth of
+/// all entries' requests.
+const WARM_NOTES: usize = 1_024;
 
 /// State that the log has given.
 #[derive(Clone, Debug, Default)]
@@ -66,12 +72,14 @@
     heard: Millis,
     loads: Vec<EndpointLoad>,
     tallies: Vec<ReleaseTally>,
+    /// Number of the last note on warm beginnings that it has told.
+    warm: u64,
 }
 
 /// What one release did, by entry and start of the entry.
 pub(super) type EntryTallies = BTreeMap<(VmId, Incarnation), Tally>;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Knowledge {
     applied: Applied,
     directory: Directory,
@@ -82,6 +90,7 @@
     entries: BTreeMap<VmId, EntryRecord>,
     entries_version: u64,
     crashes: CrashBook,
+    warm: Notes<(VmId, WarmPrefix)>,
 }
 
 /// What a control replica knows.
@@ -98,8 +107,15 @@
     pub fn new(clock: Arc<dyn Clock>) -> Self {
         let wall = clock.wall().as_u64();
         let knowledge = Knowledge {
+            applied: Applied::default(),
+            directory: Directory::default(),
+            marks: BTreeMap::new(),
+            departures: VecDeque::new(),
+            number: 0,
+            entries: BTreeMap::new(),
             entries_version: wall,
-            ..Knowledge::default()
+            crashes: CrashBook::default(),
+            warm: Notes::new(WARM_NOTES),
         };
         Self {
             incarnation: Incarnation(wall),
@@ -347,12 +363,16 @@
             return;
         }
         let is_new = known.is_none_or(|own| own.info != sync.info);
+        let same_start = known.filter(|own| own.info.incarnation == sync.info.incarnation);
+        let taken = same_start.map_or(0, |own| own.warm);
         let record = EntryRecord {
             info: sync.info.clone(),
             heard: now,
             loads: sync.loads.clone(),
             tallies: sync.tallies.clone(),
+            warm: sync.warm.upto.max(taken),
         };
+        knowledge.take_warm(sync, taken);
         knowledge.entries.insert(sync.info.vm.clone(), record);
         if !sync.suspects.is_empty() {
             knowledge.crashes.merge(&sync.suspects, now);
@@ -404,6 +424,7 @@
             controls: applied.controls.clone(),
             loads,
             suspects: knowledge.crashes.suspects(),
+            warm: is_current.then(|| knowledge.warm_beside(sync, self.incarnation)),
         };
         drop(knowledge);
         // Large parts are copied without holding everybody else up.
@@ -452,6 +473,23 @@
             .collect()
     }
 
+    /// Takes in an entry's notes after number `taken`; a question may be asked again.
+    fn take_warm(&mut self, sync: &SyncRequest, taken: u64) {
+        for read in sync.warm.since(taken) {
+            self.warm.push((sync.info.vm.clone(), read.clone()));
+        }
+    }
+
+    fn warm_beside(&self, sync: &SyncRequest, incarnation: Incarnation) -> Numbered<WarmPrefix> {
+        let is_same = sync.seen.news.incarnation == incarnation;
+        let seen = if is_same { sync.seen.warm } else { 0 };
+        let others = self.warm.since(seen).filter(|(vm, _)| *vm != sync.info.vm);
+        Numbered {
+            upto: self.warm.upto(),
+            notes: others.map(|(_, read)| read.clone()).collect(),
+        }
+    }
+
     fn loads_beside(&self, vm: &VmId) -> Vec<EndpointLoad> {
         let others = self.entries.iter().filter(|(id, _)| *id != vm);
         let mut sums: BTreeMap<&EndpointId, (u32, u32)> = BTreeMap::new();
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -220,6 +220,9 @@
         if let Some(loads) = &synced.loads {
             self.fleet().set_others(loads);
         }
+        if let Some(warm) = &synced.warm {
+            self.fleet().take_warm(&warm.notes, now);
+        }
     }
 }
 
@@ -330,6 +333,7 @@
             draw: rand::random(),
             near: &self.data_centre,
             standing: &standing,
+            entries: self.entry_count(),
             most: self.most_at_one(service),
         };
         self.fleet().pick(&wish, now)
