fix(gateway): events that came before a stream broke reach the caller

The server drops what it has not written yet when the body ends in an error; where the endpoint's last bytes and the end of its connection are there at once, that is all of them.

Ruled out: the endpoint's stand-in and the caller's read (a second failure showed event 1 and not 2). Change: the server gets a turn to write before the error.

--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -13,6 +13,7 @@
 use papayatray_core::gateway::sizing::Progress;
 use smol::Timer;
 use smol::future::FutureExt;
+use smol::future::yield_now;
 use smol::stream;
 
 use super::attempts::Attempts;
@@ -179,7 +180,11 @@
         match relayed.next().await {
             Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relayed))),
             Ok(None) => None,
-            Err(error) => Some((Err::<_, Box<dyn Error + Send + Sync>>(error.into()), None)),
+            Err(error) => {
+                // An error drops whatever the server has not written yet: let it write first.
+                yield_now().await;
+                Some((Err::<_, Box<dyn Error + Send + Sync>>(error.into()), None))
+            }
         }
     });
     passed_on(&head, StreamBody::new(frames).boxed_unsync())
--- a/papayatrayd/tests/gateway/streams.rs
+++ b/papayatrayd/tests/gateway/streams.rs
@@ -1,6 +1,7 @@
 //! Streams: events as they come, resumed elsewhere, ended with their callers.
 
 use std::io::Read;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -189,3 +190,23 @@
     let got = rig.ask("/stream/", "Last-Event-Id: 3\r\n");
     assert_eq!(received(&got), (vec![4, 5], true));
 }
+
+/// The endpoint's last bytes and the end of its connection come at once, many times over.
+#[test]
+fn events_that_came_before_a_break_reach_the_caller() {
+    let broken = Fake::start(|_, got| {
+        let parts = [stream_head(got, 90), event(1), event(2)];
+        vec![Step::Send(parts.concat()), Step::Close]
+    });
+    let rig = Rig::start(&[&broken]);
+    thread::scope(|scope| {
+        for _ in 0..32 {
+            scope.spawn(|| {
+                for _ in 0..40 {
+                    let got = rig.ask("/stream/", "");
+                    assert_eq!(received(&got), (vec![1, 2], false), "{got:?}");
+                }
+            });
+        }
+    });
+}
