feat(gateway): spans of a request and of its attempts

Each request of the gateway begins a span, in its caller's trace where it names one, with a child for each attempt; the endpoint gets the attempt as its parent. Entries serve the last spans at the metrics address; `entry.traced` sets the share.

--- a/papayatrayd/src/bin/papayatray-gateway.rs
+++ b/papayatrayd/src/bin/papayatray-gateway.rs
@@ -83,8 +83,11 @@
     let status: MakeHandler<Gateway> = Box::new(|gateway| Arc::new(StatusApi::new(gateway)));
     let mut listeners = vec![(own.status_address, status)];
     if let Some(address) = settings.metrics_address {
-        let page: MakeHandler<Gateway> =
-            Box::new(|gateway| Arc::new(MetricsPage::new(move || gateway.render_metrics())));
+        let page: MakeHandler<Gateway> = Box::new(|gateway| {
+            let traces = gateway.traces.clone();
+            let page = MetricsPage::new(move || gateway.render_metrics());
+            Arc::new(page.with_traces(traces))
+        });
         listeners.push((address, page));
     }
     let reload = move || {
@@ -96,6 +99,7 @@
         dialect: Arc::new(HeaderDialect::default()),
         listeners,
         reload: Arc::new(reload),
+        traced: own.traced,
     };
     run_entry(settings.identity(), role)
 }
--- a/papayatrayd/src/gateway/ask.rs
+++ b/papayatrayd/src/gateway/ask.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderName;
 use http::StatusCode;
 use http::header;
 use http::request;
@@ -19,6 +20,8 @@
 use super::dialect::ModelWish;
 use super::refusal::Refusal;
 use super::state::Gateway;
+use crate::observe::Span;
+use crate::observe::begin_trace;
 
 /// Time after which a caller may come back while this entry has no newest plan: the control
 /// replicas elect a leader within it after a restart.
@@ -28,8 +31,11 @@
 /// Time after which a caller may come back while no endpoint is known.
 pub(super) const EMPTY_RETRY: Millis = Millis::new(600);
 
+/// Header that names a request's trace (W3C Trace Context).
+pub(super) const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
+
 /// Request of a caller.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) struct Ask {
     pub(super) asked: Asked,
     pub(super) route: Arc<Route>,
@@ -49,6 +55,8 @@
     pub(super) session: f64,
     /// Digest of path, caller and body, the same when the request is sent again.
     pub(super) fingerprint: Fingerprint,
+    /// Span of the whole request.
+    pub(super) span: Span,
 }
 
 impl Ask {
@@ -82,7 +90,11 @@
             return Err(Refusal::NotRun("the route has no service", EMPTY_RETRY));
         };
         let wait = asked.deadline.unwrap_or(Millis::MAX).min(route.timeout);
+        let span = begin_span(gateway, &head.headers);
+        span.add("request", asked.id.clone());
+        span.add("route", route.prefix.clone());
         Ok(Self {
+            span,
             service,
             organisation,
             is_keyed,
@@ -131,6 +143,13 @@
     }
 }
 
+/// Begins the span of a request, within its caller's trace where it names one.
+fn begin_span(gateway: &Gateway, headers: &HeaderMap) -> Span {
+    let parent = headers.get(TRACEPARENT);
+    let parent = parent.and_then(|value| value.to_str().ok());
+    begin_trace("gateway.request", parent, rand::random(), gateway.traced)
+}
+
 fn host_of(head: &request::Parts) -> Option<&str> {
     let named = head.headers.get(header::HOST);
     let host = named.and_then(|value| value.to_str().ok());
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use http::HeaderValue;
 use http::response;
 use hyper::body::Incoming;
 use papayatray_core::clock::Millis;
@@ -13,6 +14,7 @@
 use super::ask::Ask;
 use super::ask::EMPTY_RETRY;
 use super::ask::POISON_RETRY;
+use super::ask::TRACEPARENT;
 use super::ask::stale;
 use super::channel::Answer;
 use super::channel::Channel;
@@ -25,6 +27,7 @@
 use super::refusal::Refusal;
 use super::state::Gateway;
 use super::state::Outcome;
+use crate::observe::Span;
 use crate::observe::request_event;
 
 /// Time under which an attempt is not worth beginning.
@@ -69,13 +72,17 @@
     pub(super) begun: Millis,
     prompt: Prompt,
     reading: f64,
+    span: Span,
 }
 
 impl InFlight {
-    fn new(gateway: &Arc<Gateway>, choice: Choice, prompt: Prompt) -> Self {
+    fn new(gateway: &Arc<Gateway>, choice: Choice, prompt: Prompt, span: Span) -> Self {
         let begun = gateway.clock.now();
         let reading = gateway.fleet().begin(&choice, &prompt, begun);
+        span.add("endpoint", choice.id.to_string());
+        span.add("release", choice.release.clone());
         Self {
+            span,
             prompt,
             reading,
             begun,
@@ -198,7 +205,8 @@
             }
             let prompt = self.prompt();
             let choice = self.pick(prompt)?;
-            let in_flight = InFlight::new(&self.gateway, choice, prompt);
+            let span = self.ask.span.child("gateway.attempt");
+            let in_flight = InFlight::new(&self.gateway, choice, prompt, span);
             if let Some(begun) = self.try_one(in_flight).await? {
                 return Ok(begun);
             }
@@ -273,7 +281,7 @@
     async fn try_one(&mut self, in_flight: InFlight) -> Result<Option<Begun>, Refusal> {
         let now = self.gateway.clock.now();
         let left = self.ask.left(now);
-        let outgoing = self.outgoing(&in_flight.choice, left);
+        let outgoing = self.outgoing(&in_flight, left);
         let exchange = async {
             let exchange = self
                 .gateway
@@ -310,18 +318,23 @@
         }
     }
 
-    fn outgoing(&self, choice: &Choice, left: Millis) -> Outgoing {
+    fn outgoing(&self, in_flight: &InFlight, left: Millis) -> Outgoing {
         let attempt = Attempt {
             left,
-            endpoint: &choice.id,
+            endpoint: &in_flight.choice.id,
             organisation: self.ask.organisation.as_ref(),
             model: self.model(),
             last_event: self.last_event,
         };
+        let mut headers = self.gateway.dialect.forwarded(&self.ask.headers, &attempt);
+        let parent = in_flight.span.traceparent();
+        if let Some(Ok(parent)) = parent.as_deref().map(HeaderValue::from_str) {
+            headers.insert(TRACEPARENT, parent);
+        }
         Outgoing {
             method: self.ask.method.clone(),
             path: self.ask.path.clone(),
-            headers: self.gateway.dialect.forwarded(&self.ask.headers, &attempt),
+            headers,
             body: self.ask.body.clone(),
             fresh: !self.ask.route.kind.is_repeatable(),
         }
@@ -398,6 +411,7 @@
             Some(Err(error)) => error.to_string(),
             None => "timeout".to_owned(),
         };
+        in_flight.span.add("outcome", outcome.clone());
         let is_plain = outcome == "200" && self.runs == 0 && self.rejections == 0;
         let now = self.gateway.clock.now();
         request_event(
--- a/papayatrayd/src/gateway/daemon.rs
+++ b/papayatrayd/src/gateway/daemon.rs
@@ -43,6 +43,7 @@
 use crate::observe::SystemClock;
 use crate::observe::event;
 use crate::observe::flush_log;
+use crate::observe::set_up_traces;
 use crate::peer::Peers;
 use crate::peer::Serving;
 use crate::peer::serve;
@@ -115,6 +116,8 @@
     pub listeners: Vec<(SocketAddr, MakeHandler<Gateway>)>,
     /// Reads the seeds anew when the settings may have changed.
     pub reload: ReadSeeds,
+    /// Requests in a thousand that are traced beside those whose callers ask for it.
+    pub traced: u32,
 }
 
 impl std::fmt::Debug for EntryRole {
@@ -168,7 +171,7 @@
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
         let key = ClusterKey::new(&identity.secret);
         let peers = Arc::new(Peers::new(own.clone(), key));
-        let gateway = Arc::new(Gateway::new(
+        let mut gateway = Gateway::new(
             identity.vm.clone(),
             identity.data_centre.clone(),
             role.callers.to_string(),
@@ -176,7 +179,10 @@
             role.dialect,
             clock,
             own.clone(),
-        ));
+        );
+        set_up_traces(&gateway.traces);
+        gateway.traced = role.traced;
+        let gateway = Arc::new(gateway);
         let closed = Arc::new(Event::new());
         let relay = Arc::new(Relay::new(Arc::clone(&gateway)));
         let listener = bind(role.callers).await?;
--- a/papayatrayd/src/gateway/site.rs
+++ b/papayatrayd/src/gateway/site.rs
@@ -63,6 +63,9 @@
     pub caller_address: SocketAddr,
     /// Address for the list of entries and for readiness.
     pub status_address: SocketAddr,
+    /// Requests in a thousand that are traced beside those whose callers ask for it.
+    #[serde(default = "traced")]
+    pub traced: u32,
 }
 
 /// Settings of the role control.
@@ -83,6 +86,10 @@
     pub tolerance: usize,
 }
 
+const fn traced() -> u32 {
+    10
+}
+
 const fn one() -> usize {
     1
 }
@@ -169,6 +176,11 @@
                 "entry, control",
                 "one of the two roles",
             ),
+            (
+                self.entry.as_ref().is_none_or(|own| own.traced <= 1_000),
+                "entry.traced",
+                "0 to 1000",
+            ),
             (
                 self.control.as_ref().is_none_or(|own| own.tolerance > 0),
                 "control.tolerance",
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -47,6 +47,7 @@
 use super::meter::Meter;
 use super::meter::Snapshot;
 use crate::observe::Level;
+use crate::observe::Traces;
 use crate::observe::event;
 use crate::tasks::Tasks;
 
@@ -111,6 +112,10 @@
     pub dialect: Arc<dyn Dialect>,
     /// Metrics.
     pub meter: Meter,
+    /// Last spans of this process.
+    pub traces: Traces,
+    /// Requests in a thousand that are traced beside those whose callers ask for it.
+    pub traced: u32,
     /// Connections to endpoints.
     pub(super) channels: Channels,
     /// Tells of a change that the control replicas must hear of at once.
@@ -149,6 +154,8 @@
         tasks: Tasks,
     ) -> Self {
         Self {
+            traces: Traces::new(vm.clone()),
+            traced: 0,
             vm,
             data_centre,
             caller_address,
--- a/papayatrayd/tests/gateway/main.rs
+++ b/papayatrayd/tests/gateway/main.rs
@@ -4,7 +4,9 @@
 
 mod endpoint;
 mod headers;
+mod news;
 mod relay;
 mod rig;
 mod settings;
 mod streams;
+mod traces;
--- a/papayatrayd/tests/gateway/settings.rs
+++ b/papayatrayd/tests/gateway/settings.rs
@@ -58,6 +58,11 @@
             format!("{SOUND}\n[bounds]\nexposure = 7.0\n"),
             "bounds.exposure",
         ),
+        (
+            "traced",
+            SOUND.replace("[entry]", "[entry]\ntraced = 1001"),
+            "entry.traced",
+        ),
     ];
     for (name, text, key) in faults {
         let error = load(name, &text).unwrap_err();
