--- /dev/null
+++ b/papayatray_core/src/digest.rs
@@ -0,0 +1,17 @@
+//! Digests as numbers, cut from longer ones.
+
+use blake3::Hash;
+
+/// Returns the first eight bytes of a digest.
+pub fn short(hash: &Hash) -> u64 {
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+/// Returns the first sixteen bytes of a digest.
+pub fn long(hash: &Hash) -> u128 {
+    let mut first = [0; 16];
+    first.copy_from_slice(&hash.as_bytes()[..16]);
+    u128::from_le_bytes(first)
+}
--- a/papayatray_core/src/gateway/arrivals.rs
+++ b/papayatray_core/src/gateway/arrivals.rs
@@ -85,9 +85,6 @@
 
     fn bucket(&mut self, service: &ServiceId, now: Millis) -> &mut Bucket {
         self.expire(service, now);
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), VecDeque::new());
-        }
         let buckets = self.services.entry(service.clone()).or_default();
         let is_open = buckets
             .back()
--- a/papayatray_core/src/gateway/placement.rs
+++ b/papayatray_core/src/gateway/placement.rs
@@ -8,6 +8,7 @@
 
 use std::cmp::Reverse;
 
+use crate::digest;
 use crate::health::Standing;
 use crate::id::EndpointId;
 
@@ -193,7 +194,5 @@
     let mut hasher = blake3::Hasher::new();
     hasher.update(&key.to_le_bytes());
     hasher.update(id.as_str().as_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(first)
+    digest::short(&hasher.finalize())
 }
--- a/papayatray_core/src/lib.rs
+++ b/papayatray_core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod claim;
 pub mod clock;
+pub mod digest;
 pub mod directory;
 pub mod exposure;
 pub mod gateway;
--- a/papayatray_state/src/storage/folder.rs
+++ b/papayatray_state/src/storage/folder.rs
@@ -71,7 +71,7 @@
     Store::open(disk)
 }
 
-/// Puts the log of `vm` aside, for a replica that may not take part with it any more, and makes the
+/// Puts the log aside, for a replica that may not take part with it any more, and makes the
 /// folder a new replica's.
 ///
 /// # Errors
--- a/papayatrayd/src/caller/ask.rs
+++ b/papayatrayd/src/caller/ask.rs
@@ -5,6 +5,7 @@
 use http_types::Request;
 use papayatray_core::catalogue::Class;
 use papayatray_core::clock::Millis;
+use papayatray_core::digest;
 use papayatray_core::id::Fingerprint;
 use papayatray_core::id::OrganisationId;
 use papayatray_core::id::RequestId;
@@ -213,9 +214,7 @@
     hasher.update(request.url().query().unwrap_or_default().as_bytes());
     hasher.update(b"\0");
     hasher.update(body);
-    let mut bytes = [0; 16];
-    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
-    u128::from_le_bytes(bytes)
+    digest::long(&hasher.finalize())
 }
 
 fn span_of(entry: &Entry, request: &Request) -> Result<Millis, Refused> {
--- a/papayatrayd/src/caller/chat.rs
+++ b/papayatrayd/src/caller/chat.rs
@@ -6,6 +6,7 @@
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
+use papayatray_core::digest;
 use papayatray_core::id::Kind;
 use papayatray_core::id::ModelId;
 use papayatray_core::id::VersionId;
@@ -344,6 +345,5 @@
     let content = message.get("content")?.as_str()?;
     let end = content.len().min(PREFIX_BYTES);
     let hash = blake3::hash(&content.as_bytes()[..end]);
-    let bytes: [u8; 8] = hash.as_bytes()[..8].try_into().ok()?;
-    Some(u64::from_le_bytes(bytes))
+    Some(digest::short(&hash))
 }
--- a/papayatrayd/src/gateway/ask.rs
+++ b/papayatrayd/src/gateway/ask.rs
@@ -9,6 +9,7 @@
 use http::header;
 use http::request;
 use papayatray_core::clock::Millis;
+use papayatray_core::digest;
 use papayatray_core::gateway::plan::Route;
 use papayatray_core::gateway::table::RouteTable;
 use papayatray_core::gateway::table::pick_target;
@@ -85,7 +86,7 @@
         };
         check_model(&asked, &route)?;
         let sticky = asked.shared_prefix();
-        let draw = sticky.unwrap_or_else(|| digest(&asked.id));
+        let draw = sticky.unwrap_or_else(|| digest::short(&blake3::hash(asked.id.as_bytes())));
         let Some(service) = pick_target(&route, spread(draw, 1)).cloned() else {
             return Err(Refusal::NotRun("the route has no service", EMPTY_RETRY));
         };
@@ -126,9 +127,7 @@
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
-        let mut first = [0; 16];
-        first.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
-        self.fingerprint = Fingerprint(u128::from_le_bytes(first));
+        self.fingerprint = Fingerprint(digest::long(&hasher.finalize()));
         self.body = body;
     }
 
@@ -197,18 +196,10 @@
     }
 }
 
-fn digest(text: &str) -> u64 {
-    let mut first = [0; 8];
-    first.copy_from_slice(&blake3::hash(text.as_bytes()).as_bytes()[..8]);
-    u64::from_le_bytes(first)
-}
-
 /// Spreads a number evenly, in a way of its own for each `purpose`.
 fn spread(number: u64, purpose: u8) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&[purpose]);
     hasher.update(&number.to_le_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(first)
+    digest::short(&hasher.finalize())
 }
--- a/papayatrayd/src/gateway/daemon.rs
+++ b/papayatrayd/src/gateway/daemon.rs
@@ -7,7 +7,6 @@
 use std::thread;
 
 use displaydoc::Display;
-use event_listener::Event;
 use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
 use papayatray_core::id::DataCentre;
@@ -183,19 +182,13 @@
         set_up_traces(&gateway.traces);
         gateway.traced = role.traced;
         let gateway = Arc::new(gateway);
-        let closed = Arc::new(Event::new());
         let relay = Arc::new(Relay::new(Arc::clone(&gateway)));
         let listener = bind(role.callers).await?;
-        own.spawn(serve_http(
-            listener,
-            relay,
-            own.clone(),
-            Some(Arc::clone(&closed)),
-        ));
+        own.spawn(serve_http(listener, relay, own.clone()));
         for (address, handler) in role.listeners {
             let listener = bind(address).await?;
             let handler = handler(Arc::clone(&gateway));
-            own.spawn(serve_http(listener, handler, own.clone(), None));
+            own.spawn(serve_http(listener, handler, own.clone()));
         }
         let agent = Arc::new(Agent::new(Arc::clone(&gateway), peers));
         agent.learn(&texts(&identity.seeds));
@@ -213,7 +206,7 @@
         while let Ok(Told::Reload) = told.recv().await {
             reload(&agent, &role.reload);
         }
-        stop_entry(&gateway, &closed).await;
+        stop_entry(&gateway).await;
         Ok(())
     })
 }
@@ -240,7 +233,7 @@
 }
 
 /// Stops an entry without cutting off a request.
-async fn stop_entry(gateway: &Arc<Gateway>, closed: &Event) {
+async fn stop_entry(gateway: &Arc<Gateway>) {
     let begun = gateway.clock.now();
     let end = begun + gateway.bounds.grace.since(STOP_RESERVE);
     event(
@@ -252,7 +245,6 @@
     let hold = Millis::new(gateway.bounds.hold.as_u64() * HOLD_FACTOR);
     let hold = hold.min(Millis::new(gateway.bounds.grace.as_u64() / 2));
     Timer::after(hold.to_duration()).await;
-    closed.notify(usize::MAX);
     gateway.set_stop(StopStage::Closed);
     event(Level::Info, "closed", &[("in_flight", &gateway.flights())]);
     while gateway.flights() > 0 && gateway.clock.now() < end {
@@ -318,7 +310,7 @@
         for (address, handler) in role.listeners {
             let listener = bind(address).await?;
             let handler = handler(Arc::clone(&operator));
-            own.spawn(serve_http(listener, handler, own.clone(), None));
+            own.spawn(serve_http(listener, handler, own.clone()));
         }
         let controller = RolloutController {
             hub,
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -318,9 +318,6 @@
 
     /// Returns the experience with the endpoints of a service.
     pub(super) fn health(&mut self, service: &ServiceId) -> &mut Health {
-        if !self.health.contains_key(service) {
-            self.health.insert(service.clone(), Health::default());
-        }
         self.health.entry(service.clone()).or_default()
     }
 }
--- a/papayatrayd/src/gateway/server.rs
+++ b/papayatrayd/src/gateway/server.rs
@@ -57,7 +57,8 @@
         false
     }
 
-    /// Returns what tells of the moment at which unused connections are to close.
+    /// Returns what tells of the moment at which no connection is taken any more, and unused ones are
+    /// to close.
     fn closing(&self) -> Option<Arc<Event>> {
         None
     }
@@ -98,13 +99,9 @@
     Ok(Limited::new(body, limit).collect().await?.to_bytes())
 }
 
-/// Serves `listener` until the process ends or `closed` is told.
-pub async fn serve_http(
-    listener: TcpListener,
-    handler: Arc<dyn Handler>,
-    tasks: Tasks,
-    closed: Option<Arc<Event>>,
-) {
+/// Serves `listener` until the process ends, or until the handler says that connections are to close.
+pub async fn serve_http(listener: TcpListener, handler: Arc<dyn Handler>, tasks: Tasks) {
+    let closing = handler.closing();
     let accepting = async {
         loop {
             match listener.accept().await {
@@ -116,8 +113,8 @@
             }
         }
     };
-    match closed {
-        Some(closed) => accepting.or(async { closed.listen().await }).await,
+    match closing {
+        Some(closing) => accepting.or(async { closing.listen().await }).await,
         None => accepting.await,
     }
 }
--- a/papayatrayd/src/gateway/state/presence.rs
+++ b/papayatrayd/src/gateway/state/presence.rs
@@ -42,7 +42,7 @@
         self.budget().set_entries(count);
     }
 
-    /// Notes that the list of a control replica still holds; returns its version.
+    /// Notes that the list of a control replica still holds.
     pub(super) fn touch_entries(&self, control: &str) {
         if let Some(list) = lock(&self.lists).get_mut(control) {
             list.heard = self.clock.now();
--- a/papayatrayd/src/observe/log.rs
+++ b/papayatrayd/src/observe/log.rs
@@ -165,7 +165,7 @@
 }
 
 /// Tells whether an ordinary request is logged.
-pub fn is_sampled(id: &str) -> bool {
+fn is_sampled(id: &str) -> bool {
     blake3::hash(id.as_bytes()).as_bytes()[0].is_multiple_of(SAMPLED_ONE_IN)
 }
 
--- a/papayatrayd/src/observe/mod.rs
+++ b/papayatrayd/src/observe/mod.rs
@@ -10,7 +10,6 @@
 pub use log::Level;
 pub use log::event;
 pub use log::flush_log;
-pub use log::is_sampled;
 pub use log::lines_left_out;
 pub use log::request_event;
 pub use log::set_up_log;
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -164,7 +164,7 @@
             tasks.clone(),
         ));
         let relay = Arc::new(Relay::new(Arc::clone(&gateway)));
-        tasks.spawn(serve_http(listener, relay, tasks.clone(), None));
+        tasks.spawn(serve_http(listener, relay, tasks.clone()));
         Self { gateway, address }
     }
 
--- a/papayatrayd/tests/gateway/traces.rs
+++ b/papayatrayd/tests/gateway/traces.rs
@@ -26,7 +26,7 @@
     let tasks = Tasks::new(1).unwrap();
     let listener = smol::block_on(smol::net::TcpListener::bind("127.0.0.1:0")).unwrap();
     let address = listener.local_addr().unwrap();
-    tasks.spawn(serve_http(listener, Arc::new(page), tasks.clone(), None));
+    tasks.spawn(serve_http(listener, Arc::new(page), tasks.clone()));
     let mut stream = TcpStream::connect(address).unwrap();
     let request = format!("GET /traces/{trace} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).unwrap();
