refactor(gateway): the board of notes is a type of the core, with its tests

The exchange of kept beginnings was tested at neither end: numbering at the control replica stood in the hub. `Board` takes notes of several writers, each once, and gives each reader those of the others; tests cover a question asked again, a writer that starts anew, and one that was left out.

--- a/papayatray_core/tests/core/gateway_warmth.rs
+++ b/papayatray_core/tests/core/gateway_warmth.rs
@@ -1,12 +1,15 @@
 //! Beginnings of prompts that endpoints keep, and notes about them between processes.
 
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::notes::Board;
 use papayatray_core::gateway::notes::Notes;
 use papayatray_core::gateway::notes::Numbered;
 use papayatray_core::gateway::warmth::KEPT;
 use papayatray_core::gateway::warmth::WarmPrefix;
 use papayatray_core::gateway::warmth::Warmth;
 use papayatray_core::id::EndpointId;
+use papayatray_core::id::Incarnation;
+use papayatray_core::id::VmId;
 
 fn id(name: &str) -> EndpointId {
     EndpointId::new(name.to_owned()).unwrap()
@@ -116,3 +119,43 @@
     assert_eq!(sent.since(12).count(), 0);
     assert_eq!(sent.since(40).count(), 0);
 }
+
+fn vm(name: &str) -> VmId {
+    VmId::new(name.to_owned()).unwrap()
+}
+
+fn told(upto: u64, notes: &[u32]) -> Numbered<u32> {
+    Numbered {
+        upto,
+        notes: notes.to_vec(),
+    }
+}
+
+/// A question whose answer was lost is asked again with the same notes and newer ones.
+#[test]
+fn each_entry_hears_of_the_others_notes_once() {
+    let (a, b) = (vm("a"), vm("b"));
+    let mut board = Board::new(8);
+    board.take(&a, Incarnation(1), &told(2, &[10, 11]));
+    board.take(&a, Incarnation(1), &told(3, &[10, 11, 12]));
+    board.take(&b, Incarnation(1), &told(1, &[20]));
+    assert_eq!(board.beside(&a, 0).notes, [20]);
+    let first = board.beside(&b, 0);
+    assert_eq!(first.notes, [10, 11, 12]);
+    assert!(board.beside(&b, first.upto).notes.is_empty());
+    board.take(&a, Incarnation(1), &told(4, &[13]));
+    assert_eq!(board.beside(&b, first.upto).notes, [13]);
+}
+
+#[test]
+fn entry_that_starts_anew_is_heard_from_its_first_note() {
+    let (a, b) = (vm("a"), vm("b"));
+    let mut board = Board::new(8);
+    board.take(&a, Incarnation(1), &told(5, &[10]));
+    board.take(&a, Incarnation(2), &told(1, &[11]));
+    assert_eq!(board.beside(&b, 0).notes, [10, 11]);
+    // A writer that was left out for a while may be heard twice, which does no harm.
+    board.retain(|writer| *writer != a);
+    board.take(&a, Incarnation(2), &told(2, &[11, 12]));
+    assert_eq!(board.beside(&b, 2).notes, [11, 12]);
+}
--- a/papayatrayd/src/gateway/hub.rs
+++ b/papayatrayd/src/gateway/hub.rs
@@ -14,8 +14,7 @@
 use papayatray_core::directory::Directory;
 use papayatray_core::directory::Endpoint;
 use papayatray_core::gateway::crashes::CrashBook;
-use papayatray_core::gateway::notes::Notes;
-use papayatray_core::gateway::notes::Numbered;
+use papayatray_core::gateway::notes::Board;
 use papayatray_core::gateway::plan::Plan;
 use papayatray_core::gateway::rollout::RolloutBook;
 use papayatray_core::gateway::warmth::WarmPrefix;
@@ -72,8 +71,6 @@
     heard: Millis,
     loads: Vec<EndpointLoad>,
     tallies: Vec<ReleaseTally>,
-    /// Number of the last note on warm beginnings that it has told.
-    warm: u64,
 }
 
 /// What one release did, by entry and start of the entry.
@@ -90,7 +87,7 @@
     entries: BTreeMap<VmId, EntryRecord>,
     entries_version: u64,
     crashes: CrashBook,
-    warm: Notes<(VmId, WarmPrefix)>,
+    warm: Board<WarmPrefix>,
 }
 
 /// What a control replica knows.
@@ -115,7 +112,7 @@
             entries: BTreeMap::new(),
             entries_version: wall,
             crashes: CrashBook::default(),
-            warm: Notes::new(WARM_NOTES),
+            warm: Board::new(WARM_NOTES),
         };
         Self {
             incarnation: Incarnation(wall),
@@ -363,16 +360,14 @@
             return;
         }
         let is_new = known.is_none_or(|own| own.info != sync.info);
-        let same_start = known.filter(|own| own.info.incarnation == sync.info.incarnation);
-        let taken = same_start.map_or(0, |own| own.warm);
         let record = EntryRecord {
             info: sync.info.clone(),
             heard: now,
             loads: sync.loads.clone(),
             tallies: sync.tallies.clone(),
-            warm: sync.warm.upto.max(taken),
         };
-        knowledge.take_warm(sync, taken);
+        let (vm, start) = (&sync.info.vm, sync.info.incarnation);
+        knowledge.warm.take(vm, start, &sync.warm);
         knowledge.entries.insert(sync.info.vm.clone(), record);
         if !sync.suspects.is_empty() {
             knowledge.crashes.merge(&sync.suspects, now);
@@ -402,10 +397,11 @@
         let seen = &sync.seen;
         let applied = &knowledge.applied;
         let is_current = applied.is_current(now);
-        let since = if seen.news.incarnation == self.incarnation {
-            seen.news.number
+        let is_same = seen.news.incarnation == self.incarnation;
+        let (since, told) = if is_same {
+            (seen.news.number, seen.warm)
         } else {
-            0
+            (0, 0)
         };
         let plan = applied.plan.clone().filter(|_| applied.version > seen.plan);
         let rollouts = Arc::clone(&applied.rollouts);
@@ -424,7 +420,7 @@
             controls: applied.controls.clone(),
             loads,
             suspects: knowledge.crashes.suspects(),
-            warm: is_current.then(|| knowledge.warm_beside(sync, self.incarnation)),
+            warm: is_current.then(|| knowledge.warm.beside(&sync.info.vm, told)),
         };
         drop(knowledge);
         // Large parts are copied without holding everybody else up.
@@ -444,6 +440,8 @@
             .entries
             .retain(|_, record| now.since(record.heard) < ENTRY_KEPT);
         if knowledge.entries.len() != before {
+            let Knowledge { entries, warm, .. } = &mut *knowledge;
+            warm.retain(|vm| entries.contains_key(vm));
             knowledge.entries_version += 1;
             drop(knowledge);
             self.changed.notify(usize::MAX);
@@ -473,23 +471,6 @@
             .collect()
     }
 
-    /// Takes in an entry's notes after number `taken`; a question may be asked again.
-    fn take_warm(&mut self, sync: &SyncRequest, taken: u64) {
-        for read in sync.warm.since(taken) {
-            self.warm.push((sync.info.vm.clone(), read.clone()));
-        }
-    }
-
-    fn warm_beside(&self, sync: &SyncRequest, incarnation: Incarnation) -> Numbered<WarmPrefix> {
-        let is_same = sync.seen.news.incarnation == incarnation;
-        let seen = if is_same { sync.seen.warm } else { 0 };
-        let others = self.warm.since(seen).filter(|(vm, _)| *vm != sync.info.vm);
-        Numbered {
-            upto: self.warm.upto(),
-            notes: others.map(|(_, read)| read.clone()).collect(),
-        }
-    }
-
     fn loads_beside(&self, vm: &VmId) -> Vec<EndpointLoad> {
         let others = self.entries.iter().filter(|(id, _)| *id != vm);
         let mut sums: BTreeMap<&EndpointId, (u32, u32)> = BTreeMap::new();
