--- a/papayatray_core/src/gateway/placement.rs
+++ b/papayatray_core/src/gateway/placement.rs
@@ -102,6 +102,23 @@
         }
     }
 
+    /// Returns the milliseconds of reading that a request brings.
+    fn reading(&self, work: &Work) -> f64 {
+        let anew = work.prefix.filter(|_| !self.is_warm);
+        work.reading + anew.map_or(0.0, |prefix| prefix.reading)
+    }
+
+    /// Returns the milliseconds until the first event of a request is expected.
+    fn expected(&self, work: &Work) -> f64 {
+        self.wait() + self.reading(work)
+    }
+
+    /// Returns what a request costs here: its own time, and that of the requests beside it.
+    fn cost(&self, work: &Work) -> f64 {
+        let harm = self.reading(work) * f64::from(self.running()) * HARM;
+        self.expected(work) + harm
+    }
+
     /// Tells whether nothing speaks against the endpoint but its work.
     fn is_sound(&self) -> bool {
         self.condition == Condition::Steady && self.failures < FAILING_SHARE
@@ -159,36 +176,40 @@
     entries: usize,
     draw: u64,
 ) -> Option<Pick<'a>> {
-    let open: Vec<&Candidate<'a>> = candidates.iter().filter(|c| c.is_open()).collect();
-    let all: Vec<&Candidate<'a>> = candidates.iter().collect();
-    let mut usable = if open.is_empty() { all } else { open };
     let key = work.prefix.map_or(draw, |prefix| prefix.digest);
-    usable.sort_by_cached_key(|c| (!c.is_sound(), Reverse(weight(key, c.id))));
+    let usable = in_order(candidates, key);
     let compared = usable.len().div_ceil(entries.max(1)).max(COMPARED_LEAST);
-    let shared = work.prefix.map_or(0.0, |prefix| prefix.reading);
-    let leaned = if usable.iter().any(|c| c.is_warm) {
+    let lean = if usable.iter().any(|candidate| candidate.is_warm) {
         0.0
     } else {
-        shared * LEAN
+        work.prefix.map_or(0.0, |prefix| prefix.reading) * LEAN
     };
-    let near = usable.iter().enumerate();
-    let near = near.filter(|(place, candidate)| *place < compared || candidate.is_warm);
+    let places = usable.iter().enumerate();
+    let near = places.filter(|(place, candidate)| *place < compared || candidate.is_warm);
     let costs = near.map(|(place, candidate)| {
-        let anew = if candidate.is_warm { 0.0 } else { shared };
-        let reading = work.reading + anew;
-        let expected = candidate.wait() + reading;
-        let harm = reading * f64::from(candidate.running()) * HARM;
-        let lean = if place == 0 { leaned } else { 0.0 };
-        (candidate, expected, expected + harm - lean)
+        let lean = if place == 0 { lean } else { 0.0 };
+        (candidate, candidate.cost(work) - lean)
     });
-    let best = costs.min_by(|a, b| a.2.total_cmp(&b.2));
-    best.map(|(candidate, expected, _)| Pick {
+    let best = costs.min_by(|a, b| a.1.total_cmp(&b.1));
+    best.map(|(candidate, _)| Pick {
         id: candidate.id,
-        expected,
+        expected: candidate.expected(work),
         is_warm: candidate.is_warm,
     })
 }
 
+/// Returns the candidates that may be used in the order of `key`, sound ones first.
+fn in_order<'c, 'a>(candidates: &'c [Candidate<'a>], key: u64) -> Vec<&'c Candidate<'a>> {
+    let open: Vec<_> = candidates.iter().filter(|c| c.is_open()).collect();
+    let mut usable = if open.is_empty() {
+        candidates.iter().collect()
+    } else {
+        open
+    };
+    usable.sort_by_cached_key(|c| (!c.is_sound(), Reverse(weight(key, c.id))));
+    usable
+}
+
 /// Returns the weight of an endpoint for a key, alike at every entry (rendezvous hashing).
 fn weight(key: u64, id: &EndpointId) -> u64 {
     let mut hasher = blake3::Hasher::new();
--- a/papayatrayd/src/gateway/agent.rs
+++ b/papayatrayd/src/gateway/agent.rs
@@ -40,9 +40,9 @@
 #[derive(Debug, Default)]
 struct Contact {
     cursor: Cursor,
-    /// Number of the last note on warm beginnings that it has told.
-    warm: u64,
-    /// Number of the last own note that it has taken.
+    /// Number of the last note on kept beginnings that has been heard from it.
+    heard: u64,
+    /// Number of the last note on kept beginnings that it has been told.
     told: u64,
     is_reached: bool,
     pause: Millis,
@@ -122,7 +122,7 @@
                 news: contact.cursor,
                 entries: gateway.entries_version(address),
                 rollouts: gateway.rollouts().changes(),
-                warm: contact.warm,
+                warm: contact.heard,
             },
             tallies: gateway.tallies(),
             loads,
@@ -133,11 +133,11 @@
 
     fn take(self: &Arc<Self>, address: &str, contact: &mut Contact, synced: Synced, asked: Millis) {
         if contact.cursor.incarnation != synced.news.upto.incarnation {
-            contact.warm = 0;
+            contact.heard = 0;
         }
         contact.cursor = synced.news.upto;
         if let Some(warm) = &synced.warm {
-            contact.warm = warm.upto;
+            contact.heard = warm.upto;
         }
         let controls = synced.controls.clone();
         self.gateway.take_synced(address, synced, asked);
