test(state): three rules of agreement that no test caught when broken

Votes for a candidate with an older log, a leader that counts what it has not stored, and one that is current without a quorum passed all tests in the default number of histories. Each now has a test on a single replica whose peers are played; each fails with its rule broken.

--- a/papayatray_state/src/replica/mod.rs
+++ b/papayatray_state/src/replica/mod.rs
@@ -10,6 +10,7 @@
 mod replication;
 
 pub use self::boot::Boot;
+pub use self::core::LEADER_LEASE;
 pub use self::core::Ready;
 pub use self::core::Replica;
 pub use self::core::Restored;
--- a/papayatray_state/tests/state/main.rs
+++ b/papayatray_state/tests/state/main.rs
@@ -7,4 +7,5 @@
 mod histories;
 mod repair;
 mod replicas;
+mod single;
 mod storage;
