--- a/papayatray_core/src/gateway/placement.rs
+++ b/papayatray_core/src/gateway/placement.rs
@@ -1,8 +1,8 @@
 //! Placement: which endpoint gets a request, by the expected time to its first event.
 //!
-//! Load it answers: prompts of very unlike length that share long beginnings, so that one long
+//! Load it answers: prompts of very unlike length that share long prefixes, so that one long
 //! prompt holds up all behind it, while many entries see the same lagging counts. Requests with a
-//! common beginning go where it is known to be kept, as long as the wait there is not longer than
+//! common prefix go where it is known to be kept, as long as the wait there is not longer than
 //! reading it anew elsewhere. Where it is kept nowhere, all entries lean to the same endpoint, so
 //! that those who ask at the same moment meet there.
 
@@ -28,7 +28,7 @@
 ///
 /// It keeps long prompts together, away from endpoints where many streams are on their way.
 const HARM: f64 = 0.3;
-/// Part of reading a beginning by which entries lean to the same endpoint while none keeps it.
+/// Part of reading a prefix by which entries lean to the same endpoint while none keeps it.
 const LEAN: f64 = 0.7;
 
 /// Fewest endpoints among which waits are compared: two to four random ones balance nearly as well
@@ -76,7 +76,7 @@
     pub standing: Standing,
     /// Share of its requests that failed lately.
     pub failures: f64,
-    /// Whether it keeps the beginning of the request's prompt.
+    /// Whether it keeps the prefix of the request's prompt.
     pub is_warm: bool,
 }
 
@@ -133,10 +133,10 @@
     }
 }
 
-/// Beginning of a prompt that other requests share.
+/// Prefix of a prompt that other requests share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SharedPrefix {
-    /// Digest of the beginning, together with the model that reads it.
+    /// Digest of the prefix, together with the model that reads it.
     pub digest: u64,
     /// Milliseconds of reading it anew.
     pub reading: f64,
@@ -145,7 +145,7 @@
 /// Work that a request brings.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
-    /// Beginning that other requests share.
+    /// Prefix that other requests share.
     pub prefix: Option<SharedPrefix>,
     /// Milliseconds of reading the request's own part.
     pub reading: f64,
@@ -158,7 +158,7 @@
     pub id: &'a EndpointId,
     /// Milliseconds until the first event is expected.
     pub expected: f64,
-    /// Whether the endpoint keeps the beginning of the prompt.
+    /// Whether the endpoint keeps the prefix of the prompt.
     pub is_warm: bool,
 }
 
@@ -166,7 +166,7 @@
 ///
 /// All entries work by counts that are as old as the last exchange. Were each to compare all
 /// endpoints, they would all send to the one that looked idlest then; so each request compares its
-/// share of them only, and those that keep its beginning.
+/// share of them only, and those that keep its prefix.
 ///
 /// Where all candidates are set aside, the best of them is picked: a fault that all share is not
 /// theirs.
--- a/papayatray_core/src/gateway/warmth.rs
+++ b/papayatray_core/src/gateway/warmth.rs
@@ -1,7 +1,7 @@
-//! Warmth: which endpoints have read the beginning of a prompt lately.
+//! Warmth: which endpoints have read the prefix of a prompt lately.
 //!
-//! Load it answers: long prompts on a slow model that share their beginnings with few others.
-//! Taking an unread beginning for a kept one hides seconds of reading from everybody who is
+//! Load it answers: long prompts on a slow model that share their prefixes with few others.
+//! Taking an unread prefix for a kept one hides seconds of reading from everybody who is
 //! placed behind it.
 
 use std::collections::BTreeMap;
@@ -13,40 +13,40 @@
 use crate::clock::Millis;
 use crate::id::EndpointId;
 
-/// Time for which an endpoint is taken to keep a beginning: the quiet load of the sites at hand
+/// Time for which an endpoint is taken to keep a prefix: the quiet load of the sites at hand
 /// fills an endpoint's memory about once in it.
 pub const KEPT: Millis = Millis::from_secs(60);
-/// Beginnings remembered, a few times those asked for within [`KEPT`] at the sites at hand.
-const BEGINNINGS_MOST: usize = 2_048;
-/// Endpoints remembered for each beginning: a popular one is read at several.
+/// Prefixes remembered, a few times those asked for within [`KEPT`] at the sites at hand.
+const PREFIXES_MOST: usize = 2_048;
+/// Endpoints remembered for each prefix: a popular one is read at several.
 const PLACES_MOST: usize = 4;
 
-/// Beginning that an endpoint has read, as entries tell one another.
+/// Prefix that an endpoint has read, as entries tell one another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WarmPrefix {
-    /// Digest of the beginning, together with the model that read it.
+    /// Digest of the prefix, together with the model that read it.
     pub digest: u64,
     /// The endpoint.
     pub endpoint: EndpointId,
 }
 
-/// Endpoint that has read a beginning.
+/// Endpoint that has read a prefix.
 #[derive(Clone, Debug)]
 struct Place {
     endpoint: EndpointId,
     until: Millis,
 }
 
-/// Beginnings of prompts, each with the endpoints that keep it.
+/// Prefixes of prompts, each with the endpoints that keep it.
 #[derive(Clone, Debug, Default)]
 pub struct Warmth {
     places: BTreeMap<u64, Vec<Place>>,
-    /// Beginnings by the moment of their last note, the oldest first.
+    /// Prefixes by the moment of their last note, the oldest first.
     order: VecDeque<(Millis, u64)>,
 }
 
 impl Warmth {
-    /// Notes that an endpoint reads a beginning; tells whether that is worth passing on.
+    /// Notes that an endpoint reads a prefix; tells whether that is worth passing on.
     pub fn note(&mut self, read: &WarmPrefix, now: Millis) -> bool {
         self.expire(now);
         let until = now + KEPT;
@@ -64,7 +64,7 @@
         known.is_none_or(|place| place.until.since(now).as_u64() * 2 < KEPT.as_u64())
     }
 
-    /// Tells whether an endpoint is taken to keep the beginning `digest`.
+    /// Tells whether an endpoint is taken to keep the prefix `digest`.
     pub fn is_warm(&self, digest: u64, endpoint: &EndpointId, now: Millis) -> bool {
         let places = self.places.get(&digest);
         places.is_some_and(|places| {
@@ -80,18 +80,18 @@
         }
     }
 
-    /// Returns how many beginnings are remembered.
+    /// Returns how many prefixes are remembered.
     pub fn count(&self) -> usize {
         self.places.len()
     }
 
     fn expire(&mut self, now: Millis) {
         while let Some((until, digest)) = self.order.front().copied() {
-            if now < until && self.order.len() < BEGINNINGS_MOST {
+            if now < until && self.order.len() < PREFIXES_MOST {
                 return;
             }
             self.order.pop_front();
-            // A later note of the same beginning stands further back in the order.
+            // A later note of the same prefix stands further back in the order.
             let is_last = self
                 .places
                 .get(&digest)
--- a/papayatray_core/tests/core/gateway_placement.rs
+++ b/papayatray_core/tests/core/gateway_placement.rs
@@ -67,7 +67,7 @@
 }
 
 #[test]
-fn requests_with_a_common_beginning_meet_at_every_entry() {
+fn requests_with_a_common_prefix_meet_at_every_entry() {
     let ids = ids(18);
     let candidates: Vec<_> = ids.iter().map(idle).collect();
     let mut turned = candidates.clone();
@@ -79,7 +79,7 @@
 }
 
 #[test]
-fn beginnings_are_spread_over_all_endpoints() {
+fn prefixes_are_spread_over_all_endpoints() {
     let ids = ids(18);
     let candidates: Vec<_> = ids.iter().map(idle).collect();
     let used: std::collections::BTreeSet<_> = (0..400)
@@ -103,7 +103,7 @@
 }
 
 #[test]
-fn request_follows_its_beginning_to_any_endpoint() {
+fn request_follows_its_prefix_to_any_endpoint() {
     let ids = ids(18);
     for at in 0..ids.len() {
         let mut candidates: Vec<_> = ids.iter().map(idle).collect();
@@ -114,7 +114,7 @@
 }
 
 #[test]
-fn reading_a_beginning_anew_is_expected_unless_it_is_kept() {
+fn reading_a_prefix_anew_is_expected_unless_it_is_kept() {
     let ids = ids(4);
     let mut candidates: Vec<_> = ids.iter().map(idle).collect();
     let work = Work {
--- a/papayatray_core/tests/core/gateway_warmth.rs
+++ b/papayatray_core/tests/core/gateway_warmth.rs
@@ -1,4 +1,4 @@
-//! Beginnings of prompts that endpoints keep, and notes about them between processes.
+//! Prefixes of prompts that endpoints keep, and notes about them between processes.
 
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::notes::Board;
@@ -46,7 +46,7 @@
 }
 
 #[test]
-fn popular_beginning_is_kept_at_several_endpoints() {
+fn popular_prefix_is_kept_at_several_endpoints() {
     let mut warmth = Warmth::default();
     for name in ["a", "b", "c"] {
         warmth.note(&read(1, name), Millis::ZERO);
@@ -73,14 +73,14 @@
 }
 
 #[test]
-fn memory_of_beginnings_is_bounded() {
+fn memory_of_prefixes_is_bounded() {
     let mut warmth = Warmth::default();
     for digest in 0..100_000 {
         warmth.note(&read(digest, "a"), Millis::new(digest / 100));
     }
     assert!(warmth.count() <= 2_048, "{}", warmth.count());
     assert!(warmth.is_warm(99_999, &id("a"), Millis::new(1_000)));
-    // The same beginning over and over, as with one key that gets much of the traffic.
+    // The same prefix over and over, as with one key that gets much of the traffic.
     let mut warmth = Warmth::default();
     for round in 0..100_000 {
         warmth.note(&read(7, "a"), Millis::new(round));
--- a/papayatray_wire/src/peer/gateway.rs
+++ b/papayatray_wire/src/peer/gateway.rs
@@ -39,7 +39,7 @@
     pub entries: u64,
     /// Version of the roll-outs.
     pub rollouts: u64,
-    /// Number of the last note on warm beginnings, of the process that `news` names.
+    /// Number of the last note on warm prefixes, of the process that `news` names.
     pub warm: u64,
 }
 
@@ -78,7 +78,7 @@
     pub loads: Vec<EndpointLoad>,
     /// Requests whose endpoints crashed while they ran them, as this entry has seen it.
     pub suspects: Vec<Suspect>,
-    /// Beginnings of prompts that this entry's requests made endpoints read, by number.
+    /// Prefixes of prompts that this entry's requests made endpoints read, by number.
     pub warm: Numbered<WarmPrefix>,
 }
 
@@ -129,7 +129,7 @@
     pub loads: Option<Vec<EndpointLoad>>,
     /// Suspects of all entries that ask this replica.
     pub suspects: Vec<Suspect>,
-    /// Beginnings of prompts that other entries' requests made endpoints read; only from the
+    /// Prefixes of prompts that other entries' requests made endpoints read; only from the
     /// leader.
     pub warm: Option<Numbered<WarmPrefix>>,
 }
--- a/papayatrayd/src/gateway/agent.rs
+++ b/papayatrayd/src/gateway/agent.rs
@@ -40,9 +40,9 @@
 #[derive(Debug, Default)]
 struct Contact {
     cursor: Cursor,
-    /// Number of the last note on kept beginnings that has been heard from it.
+    /// Number of the last note on kept prefixes that has been heard from it.
     heard: u64,
-    /// Number of the last note on kept beginnings that it has been told.
+    /// Number of the last note on kept prefixes that it has been told.
     told: u64,
     is_reached: bool,
     pause: Millis,
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -255,7 +255,7 @@
         let (shared_tokens, own_tokens) = self.ask.asked.tokens();
         let shared = self.ask.asked.shared_prefix();
         Prompt {
-            // Each model keeps beginnings of its own.
+            // Each model keeps prefixes of its own.
             shared: shared.map(|digest| digest.wrapping_add(size as u64)),
             shared_tokens,
             own_tokens,
--- a/papayatrayd/src/gateway/dialect.rs
+++ b/papayatrayd/src/gateway/dialect.rs
@@ -49,13 +49,13 @@
 }
 
 impl Asked {
-    /// Returns the digest of the longest beginning that other requests share.
+    /// Returns the digest of the longest prefix that other requests share.
     pub fn shared_prefix(&self) -> Option<u64> {
         let shared = self.parts.len().checked_sub(2)?;
         self.parts.get(shared).map(|part| part.digest)
     }
 
-    /// Returns the tokens of that beginning, and those that are the request's own.
+    /// Returns the tokens of that prefix, and those that are the request's own.
     pub fn tokens(&self) -> (u32, u32) {
         let (own, shared) = match self.parts.split_last() {
             None => return (0, 0),
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -29,7 +29,7 @@
 
 /// Missed heartbeats, in heartbeat times, after which an endpoint counts as silent.
 const SILENT_BEATS: u64 = 4;
-/// Notes on warm beginnings that are kept until the control replicas have taken them: some seconds'
+/// Notes on warm prefixes that are kept until the control replicas have taken them: some seconds'
 /// worth of an entry's requests.
 const WARM_NOTES: usize = 256;
 
@@ -73,9 +73,9 @@
 /// Prompt of a request, as far as it concerns placement.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Prompt {
-    /// Digest of the beginning that other requests share, together with the model's size.
+    /// Digest of the prefix that other requests share, together with the model's size.
     pub(super) shared: Option<u64>,
-    /// Tokens of that beginning.
+    /// Tokens of that prefix.
     pub(super) shared_tokens: u32,
     /// Tokens that are the request's own.
     pub(super) own_tokens: u32,
@@ -155,14 +155,14 @@
         self.others = backlogs.collect();
     }
 
-    /// Takes in which beginnings other entries' requests made endpoints read.
+    /// Takes in which prefixes other entries' requests made endpoints read.
     pub(super) fn take_warm(&mut self, notes: &[WarmPrefix], now: Millis) {
         for read in notes {
             self.warmth.note(read, now);
         }
     }
 
-    /// Returns which beginnings this entry's requests made endpoints read after note `told`.
+    /// Returns which prefixes this entry's requests made endpoints read after note `told`.
     pub(super) fn warm_since(&self, told: u64) -> Numbered<WarmPrefix> {
         Numbered {
             upto: self.warm_notes.upto(),
--- a/papayatrayd/src/gateway/hub.rs
+++ b/papayatrayd/src/gateway/hub.rs
@@ -49,7 +49,7 @@
 const RENEWED_KEPT: Millis = Millis::new(800);
 /// Departures that are remembered for entries that ask late.
 const DEPARTURES: usize = 1_024;
-/// Notes on warm beginnings that are remembered for entries that ask late: some seconds' worth of
+/// Notes on warm prefixes that are remembered for entries that ask late: some seconds' worth of
 /// all entries' requests.
 const WARM_NOTES: usize = 1_024;
 
