fix(state): a newcomer that was let go before it counted is taken in again

The leader takes the blank replica in as a learner; where its answers are lost for 1.5 s it is let go again. It had left the blank stage by then, so it no longer told of itself, and nobody sent to it: either without any log, or with the very entry that removed it, not known to be committed.

Ruled out: clocks, an unfinished change of members, blanks that had grown old. Change: a replica that is open and no member by its own log, or has not heard a leader for 1.5 s without being a voter, speaks again: without a log as a blank one, otherwise by asking the others, at which the leader tells it that it was removed and the daemon renews its folder.

The histories of self-repair now renew an outdated folder, as the daemon does; before, such a replica could never come back in them.

--- a/papayatray_state/src/replica/boot.rs
+++ b/papayatray_state/src/replica/boot.rs
@@ -16,6 +16,7 @@
 use super::ReplicaId;
 use super::Role;
 use super::Snapshot;
+use super::repair::LOST_AFTER;
 
 /// Time between the messages of a replica that is starting.
 const BOOT_BEAT: Millis = Millis::new(200);
@@ -163,9 +164,17 @@
         }
         self.boot.sent = Some(self.now);
         match self.boot.stage {
-            Stage::Blank => self.tell_blank(),
-            Stage::Confirming => self.ask_known(),
-            Stage::Open | Stage::Stale => {}
+            Stage::Blank => {
+                self.tell_blank();
+                self.found();
+            }
+            Stage::Confirming => {
+                self.ask_known();
+                self.count_confirmed();
+            }
+            Stage::Open if self.log.members().is_empty() => self.tell_blank(),
+            Stage::Open => self.ask_known(),
+            Stage::Stale => {}
         }
     }
 
@@ -181,7 +190,6 @@
             };
             self.send(&to, message);
         }
-        self.found();
     }
 
     /// Founds the deployment once every founder is known to be blank; the first by name does it.
@@ -233,7 +241,16 @@
         for id in self.others() {
             self.send(&id, Message::Hello { term, last });
         }
-        self.count_confirmed();
+    }
+
+    /// Tells whether this replica was taken in and seems to have been let go before it counted, so
+    /// that nobody sends to it any more.
+    ///
+    /// Without a log it may be taken in as it is; otherwise the leader tells it that it was removed.
+    pub(super) fn is_left_out(&self) -> bool {
+        let members = self.log.members();
+        let is_forgotten = self.now.since(self.heard) >= LOST_AFTER;
+        members.is_empty() || (is_forgotten && !members.is_voter(&self.id))
     }
 
     fn count_confirmed(&mut self) {
--- a/papayatray_state/src/replica/core.rs
+++ b/papayatray_state/src/replica/core.rs
@@ -244,7 +244,7 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: Millis) {
         self.now = self.now.max(now);
-        if !self.boot.is_open() {
+        if !self.boot.is_open() || self.is_left_out() {
             self.tick_boot();
             return;
         }
--- a/papayatray_state/src/replica/repair.rs
+++ b/papayatray_state/src/replica/repair.rs
@@ -7,7 +7,7 @@
 use super::Role;
 
 /// Time without an answer after which a voter counts as lost once a blank replica could stand in.
-const LOST_AFTER: Millis = Millis::new(1_500);
+pub(super) const LOST_AFTER: Millis = Millis::new(1_500);
 /// Time after which a blank replica that is no longer heard of is left aside.
 const BLANK_KEPT: Millis = Millis::new(1_000);
 
--- a/papayatray_state/tests/state/histories.rs
+++ b/papayatray_state/tests/state/histories.rs
@@ -166,6 +166,8 @@
     let (Some(vm), Some(leader)) = (*lost, cluster.leader()) else {
         return;
     };
+    // A newcomer that was let go again joins as a new replica, as the daemon sees to.
+    cluster.renew_outdated(vm);
     let newcomer = cluster.vms[vm].id.clone();
     let replica = cluster.node(leader).replica();
     let members = replica.log().members_at(replica.commit());
--- a/papayatray_state/tests/state/replicas.rs
+++ b/papayatray_state/tests/state/replicas.rs
@@ -392,3 +392,68 @@
     tell(&mut replica, later, reply(3));
     assert_eq!(replica.commit(), 3, "the leader's own entry commits both");
 }
+
+/// Found by histories with seeds 42 to 44: the newcomer's answers are lost for so long that it is let
+/// go again before it has got the log.
+#[test]
+fn newcomer_that_was_let_go_before_it_got_the_log_is_taken_in_again() {
+    let mut cluster = Cluster::self_repairing(3);
+    cluster.settle(60);
+    let leader = cluster.leader().expect("a leader");
+    let lost = (leader + 1) % 3;
+    cluster.crash(lost, 0);
+    cluster.wipe(lost);
+    cluster.start(lost);
+    let newcomer = cluster.vms[lost].id.clone();
+    let is_member = |cluster: &Cluster| {
+        let members = cluster.node(leader).replica().members();
+        members.get(&newcomer).is_some()
+    };
+    for _ in 0..40 {
+        cluster.settle(1);
+        if is_member(&cluster) {
+            break;
+        }
+    }
+    assert!(is_member(&cluster), "it is taken in");
+    cluster.cuts.insert((lost, leader));
+    cluster.settle(80);
+    cluster.cuts.clear();
+    cluster.settle(150);
+    let members = cluster.node(leader).replica().members();
+    assert!(members.is_voter(&newcomer), "{}", cluster.describe());
+}
+
+/// Found by histories with seeds 43 to 45: the newcomer has got the log, and in it the entry by which
+/// it was let go, but nobody told it that this was committed.
+#[test]
+fn newcomer_that_was_let_go_after_it_got_the_log_joins_anew() {
+    let mut cluster = Cluster::self_repairing(3);
+    cluster.settle(60);
+    let leader = cluster.leader().expect("a leader");
+    let lost = (leader + 1) % 3;
+    cluster.crash(lost, 0);
+    cluster.wipe(lost);
+    cluster.start(lost);
+    let has_log = |cluster: &Cluster| !cluster.node(lost).replica().members().is_empty();
+    // One way, so that it is let go and hears of it; then all ways, before that is committed.
+    for _ in 0..200 {
+        cluster.settle(1);
+        if has_log(&cluster) {
+            cluster.cuts.insert((lost, leader));
+        }
+        let log = cluster.node(lost).replica().log();
+        let knows = log.members().get(&cluster.vms[lost].id).is_none();
+        if has_log(&cluster) && knows && cluster.node(lost).replica().commit() < log.last().index {
+            cluster.cuts.insert((leader, lost));
+        }
+    }
+    cluster.cuts.clear();
+    for _ in 0..200 {
+        cluster.settle(1);
+        cluster.renew_outdated(lost);
+    }
+    let members = cluster.node(leader).replica().members();
+    let newcomer = &cluster.vms[lost].id;
+    assert!(members.is_voter(newcomer), "{}", cluster.describe());
+}
