refactor: one fixture for a single replica, one for a lost disk; attributes only where traced

Cause: the test of an older term's entry built by hand the replica that `Single` builds, and two tests of a newcomer began with the same seven lines; attributes of spans were put together on each attempt, also in the build without spans.

Change: the first test stands with `Single`, its assertions as they were; `with_lost_disk` serves the two; `Span::add` asks for its value only where the request is traced. No change of behaviour. Left: the bodies of the two control interfaces differ in what they answer, the starts of the two roles share six lines, and a test spells out the reserved headers on purpose.

Measured: tests of the state and the gateway pass; the cost of the attributes was not measured apart.

--- a/papayatray_state/tests/state/replicas.rs
+++ b/papayatray_state/tests/state/replicas.rs
@@ -2,22 +2,7 @@
 
 use papayatray_core::catalogue::Outcome;
 use papayatray_core::clock::Millis;
-use papayatray_core::id::Incarnation;
 use papayatray_core::id::Revision;
-use papayatray_core::id::Term;
-use papayatray_core::id::VmId;
-use papayatray_state::replica::Entry;
-use papayatray_state::replica::Envelope;
-use papayatray_state::replica::HardState;
-use papayatray_state::replica::Members;
-use papayatray_state::replica::Message;
-use papayatray_state::replica::Payload;
-use papayatray_state::replica::Position;
-use papayatray_state::replica::Replica;
-use papayatray_state::replica::ReplicaId;
-use papayatray_state::replica::Restored;
-use papayatray_state::replica::Role;
-use papayatray_state::replica::Snapshot;
 
 use crate::cluster::Cluster;
 use crate::cluster::bill;
@@ -30,6 +15,18 @@
     (cluster, leader)
 }
 
+/// Returns replicas that repair themselves, the leader, and a follower that came back without its disk.
+fn with_lost_disk() -> (Cluster, usize, usize) {
+    let mut cluster = Cluster::self_repairing(3);
+    cluster.settle(60);
+    let leader = cluster.leader().expect("a leader");
+    let lost = (leader + 1) % 3;
+    cluster.crash(lost, 0);
+    cluster.wipe(lost);
+    cluster.start(lost);
+    (cluster, leader, lost)
+}
+
 fn cut_off(cluster: &mut Cluster, vm: usize) {
     for other in 0..cluster.vms.len() {
         cluster.cuts.extend([(vm, other), (other, vm)]);
@@ -314,96 +311,11 @@
     );
 }
 
-#[test]
-fn entry_of_an_older_term_is_not_committed_by_counting_it() {
-    let now = Millis::new(10_000);
-    let name = |n: u64| ReplicaId {
-        vm: VmId::new(format!("vm-{n}")).unwrap(),
-        folder: Incarnation(n),
-    };
-    let members = Members::founding((1..=3).map(|n| (name(n), String::new())));
-    let position = |term, index| Position {
-        term: Term(term),
-        index,
-    };
-    let snapshot = Snapshot {
-        position: position(0, 1),
-        members,
-        state: Vec::new(),
-    };
-    // An entry of term 1 that its leader could not commit.
-    let entries = vec![Entry {
-        position: position(1, 2),
-        payload: Payload::Blank,
-    }];
-    let hard = HardState {
-        term: Term(1),
-        vote: None,
-    };
-    let restored = Restored {
-        hard,
-        snapshot,
-        entries,
-    };
-    let mut replica = Replica::new(name(1), "", restored, 1, now);
-    let tell = |replica: &mut Replica, at: Millis, message: Message| {
-        let envelope = Envelope {
-            from: name(2),
-            to: name(1),
-            message,
-        };
-        replica.receive(at, envelope);
-        replica.take_ready();
-        replica.stored();
-    };
-    replica.tick(now);
-    tell(&mut replica, now, Message::HelloReply { known: None });
-    let later = now + Millis::new(2_000);
-    replica.tick(later);
-    tell(
-        &mut replica,
-        later,
-        Message::PreVoteReply {
-            term: Term(2),
-            granted: true,
-        },
-    );
-    tell(
-        &mut replica,
-        later,
-        Message::VoteReply {
-            term: Term(2),
-            granted: true,
-        },
-    );
-    assert_eq!(replica.role(), Role::Leader);
-    let reply = |index| Message::AppendReply {
-        term: Term(2),
-        matched: Some(index),
-        last: index,
-        sent: later,
-    };
-    tell(&mut replica, later, reply(2));
-    assert_eq!(
-        replica.commit(),
-        1,
-        "a quorum has it, and it may still be replaced"
-    );
-    tell(&mut replica, later, reply(3));
-    assert_eq!(replica.commit(), 3, "the leader's own entry commits both");
-}
-
 /// Found by histories with seeds 42 to 44: the newcomer's answers are lost for so long that it is let
 /// go again before it has got the log.
 #[test]
 fn newcomer_that_was_let_go_before_it_got_the_log_is_taken_in_again() {
-    let mut cluster = Cluster::self_repairing(3);
-    cluster.settle(60);
-    let leader = cluster.leader().expect("a leader");
-    let lost = (leader + 1) % 3;
-    cluster.crash(lost, 0);
-    cluster.wipe(lost);
-    cluster.start(lost);
+    let (mut cluster, leader, lost) = with_lost_disk();
     let newcomer = cluster.vms[lost].id.clone();
     let is_member = |cluster: &Cluster| {
         let members = cluster.node(leader).replica().members();
@@ -428,13 +340,7 @@
 /// it was let go, but nobody told it that this was committed.
 #[test]
 fn newcomer_that_was_let_go_after_it_got_the_log_joins_anew() {
-    let mut cluster = Cluster::self_repairing(3);
-    cluster.settle(60);
-    let leader = cluster.leader().expect("a leader");
-    let lost = (leader + 1) % 3;
-    cluster.crash(lost, 0);
-    cluster.wipe(lost);
-    cluster.start(lost);
+    let (mut cluster, leader, lost) = with_lost_disk();
     let has_log = |cluster: &Cluster| !cluster.node(lost).replica().members().is_empty();
     // One way, so that it is let go and hears of it; then all ways, before that is committed.
     for _ in 0..200 {
--- a/papayatray_state/tests/state/single.rs
+++ b/papayatray_state/tests/state/single.rs
@@ -167,3 +167,21 @@
         "nobody answered since"
     );
 }
+
+#[test]
+fn entry_of_an_older_term_is_not_committed_by_counting_it() {
+    // The entry of term 1 is one that its leader could not commit.
+    let mut single = Single::lead();
+    single.hear(2, LATER, stored(2, LATER));
+    assert_eq!(
+        single.replica.commit(),
+        1,
+        "a quorum has it, and it may still be replaced"
+    );
+    single.hear(2, LATER, stored(3, LATER));
+    assert_eq!(
+        single.replica.commit(),
+        3,
+        "the leader's own entry commits both"
+    );
+}
--- a/papayatrayd/src/caller/ask.rs
+++ b/papayatrayd/src/caller/ask.rs
@@ -103,8 +103,7 @@
             .map(|o| o.class);
         let parent = header_of(request, header::TRACEPARENT);
         let span = begin_trace("caller.request", parent, draw, entry.settings.traced);
-        let named = key.request.to_string();
-        span.add("request", named);
+        span.add("request", || key.request.to_string());
         Ok(Self {
             entry: Arc::clone(entry),
             class: class.unwrap_or(Class::Trial),
--- a/papayatrayd/src/caller/dispatch.rs
+++ b/papayatrayd/src/caller/dispatch.rs
@@ -208,8 +208,7 @@
     /// Sends the request to one endpoint; nothing is returned where another may be tried.
     async fn try_one(&mut self, mut aboard: Aboard) -> Result<Option<Dispatched>, Refused> {
         let span = self.ask.span.child("endpoint.attempt");
-        let named = aboard.member.id.to_string();
-        span.add("endpoint", named);
+        span.add("endpoint", || aboard.member.id.to_string());
         let mut exchange = self.exchange.clone();
         exchange.attempt = aboard.attempt;
         exchange.limit = exchange.limit.min(self.ask.left());
--- a/papayatrayd/src/gateway/ask.rs
+++ b/papayatrayd/src/gateway/ask.rs
@@ -92,8 +92,8 @@
         };
         let wait = asked.deadline.unwrap_or(Millis::MAX).min(route.timeout);
         let span = begin_span(gateway, &head.headers);
-        span.add("request", asked.id.clone());
-        span.add("route", route.prefix.clone());
+        span.add("request", || asked.id.clone());
+        span.add("route", || route.prefix.clone());
         Ok(Self {
             span,
             service,
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -79,8 +79,8 @@
     fn new(gateway: &Arc<Gateway>, choice: Choice, prompt: Prompt, span: Span) -> Self {
         let begun = gateway.clock.now();
         let reading = gateway.fleet().begin(&choice, &prompt, begun);
-        span.add("endpoint", choice.id.to_string());
-        span.add("release", choice.release.clone());
+        span.add("endpoint", || choice.id.to_string());
+        span.add("release", || choice.release.clone());
         Self {
             span,
             prompt,
@@ -411,7 +411,7 @@
             Some(Err(error)) => error.to_string(),
             None => "timeout".to_owned(),
         };
-        in_flight.span.add("outcome", outcome.clone());
+        in_flight.span.add("outcome", || outcome.clone());
         let is_plain = outcome == "200" && self.runs == 0 && self.rejections == 0;
         let now = self.gateway.clock.now();
         request_event(
--- a/papayatrayd/src/observe/span.rs
+++ b/papayatrayd/src/observe/span.rs
@@ -42,9 +42,12 @@
         }
     }
 
-    /// Adds an attribute.
-    pub fn add(&self, key: &'static str, value: String) {
-        self.inner.add_property(|| (key, value));
+    /// Adds an attribute; `value` is asked for only where the request is traced.
+    pub fn add<F>(&self, key: &'static str, value: F)
+    where
+        F: FnOnce() -> String,
+    {
+        self.inner.add_property(|| (key, value()));
     }
 
     /// Returns the `traceparent` for the next hop.
@@ -61,8 +64,12 @@
         Self::default()
     }
 
-    /// Adds an attribute.
-    pub fn add(&self, _key: &'static str, _value: String) {}
+    /// Adds no attribute; `value` is not asked for.
+    pub fn add<F>(&self, _key: &'static str, _value: F)
+    where
+        F: FnOnce() -> String,
+    {
+    }
 
     /// Returns the `traceparent` for the next hop.
     pub const fn traceparent(&self) -> Option<String> {
