feat(gateway): leave endpoints that state in a response that they leave or want a pause

Cause: an endpoint could say that it leaves only by heartbeat, which an entry out of touch with the control replicas never hears, and a 503 with Retry-After was a plain rejection: the next request went to the same endpoint again. Change: the head of each response is read for both. A departure holds for the rest of the incarnation, reaches the control replicas with the next sync and the other entries from there, as a deregistration (a changed record of equal sequence would be dropped by the entries; a test shows it). A pause binds the entry that was turned away, in a module of its own; with all endpoints of a service paused, the request is refused at once with the time to come back. Ruled out: waking all long polls for a departure; a sync is due within 200 ms and the bound is 2 s. Left out: telling other entries of pauses. The endpoint addresses one entry; not measured.

--- a/papayatray_core/src/gateway/mod.rs
+++ b/papayatray_core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub mod arrivals;
 pub mod crashes;
 pub mod freshness;
+pub mod pauses;
 pub mod placement;
 pub mod plan;
 pub mod prefix_directory;
--- a/papayatray_core/src/gateway/updates.rs
+++ b/papayatray_core/src/gateway/updates.rs
@@ -77,6 +77,17 @@
             .iter()
             .skip(count_seen(self.last_number, self.updates.len(), seen))
     }
+
+    /// Returns a copy of the stored updates with a number above `seen`.
+    pub fn batch_since(&self, seen: u64) -> UpdateBatch<T>
+    where
+        T: Clone,
+    {
+        UpdateBatch {
+            last_number: self.last_number,
+            updates: self.since(seen).cloned().collect(),
+        }
+    }
 }
 
 /// Updates of several writers, relayed once to each of the other processes.
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -10,6 +10,7 @@
 mod fixture;
 mod gateway_crashes;
 mod gateway_limits;
+mod gateway_pauses;
 mod gateway_placement;
 mod gateway_plan;
 mod gateway_prefixes;
--- a/papayatray_wire/src/peer/gateway.rs
+++ b/papayatray_wire/src/peer/gateway.rs
@@ -82,6 +82,9 @@
     pub loads: Vec<EndpointLoad>,
     /// Requests during which this entry has seen endpoints crash.
     pub suspects: Vec<Suspect>,
+    /// Endpoints that stated to this entry that they are leaving.
+    #[serde(default)]
+    pub departures: UpdateBatch<Deregistration>,
     /// Prompt prefixes that endpoints have cached through requests of this entry.
     #[serde(rename = "warm")]
     pub cached_prefixes: UpdateBatch<CachedPrefix>,
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -318,10 +318,7 @@
             .gateway
             .pick(service, &self.excluded, prompt, session_draw);
         let Some(endpoint) = endpoint else {
-            return Err(self.final_refusal(
-                "no endpoint of the service is available",
-                NO_ENDPOINT_RETRY_AFTER,
-            ));
+            return Err(self.no_endpoint_refusal());
         };
         let now = self.gateway.clock.now();
         if self.arrivals > 0 && !self.gateway.budget().spend(service, now) {
@@ -333,6 +330,25 @@
         Ok(endpoint)
     }
 
+    /// Returns the refusal for a request that no endpoint may get.
+    fn no_endpoint_refusal(&self) -> Refusal {
+        let now = self.gateway.clock.now();
+        let pause = self
+            .gateway
+            .fleet()
+            .shortest_pause(&self.request.service, now);
+        match pause {
+            Some(pause) => self.final_refusal(
+                "every endpoint of the service asked for a pause",
+                pause.max(BUSY_RETRY_AFTER),
+            ),
+            None => self.final_refusal(
+                "no endpoint of the service is available",
+                NO_ENDPOINT_RETRY_AFTER,
+            ),
+        }
+    }
+
     /// Sends the request to one endpoint; returns `None` if another endpoint may be tried.
     async fn send_to_endpoint(
         &mut self,
@@ -409,6 +425,7 @@
     ) -> Result<Option<StartedResponse>, Refusal> {
         let (head, body) = received.response.into_parts();
         let metadata = self.gateway.dialect.response_metadata(&head);
+        self.gateway.record_statements(&attempt.endpoint, &metadata);
         if metadata.not_run {
             self.record_rejection(&attempt);
             return Ok(None);
@@ -422,11 +439,11 @@
         self.possible_runs += 1;
         Ok(Some(StartedResponse {
             attempt,
-            metadata,
             head,
             body,
             connection: received.connection,
-            is_reusable: received.is_reusable,
+            is_reusable: received.is_reusable && !metadata.is_leaving,
+            metadata,
         }))
     }
 
--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -262,14 +262,7 @@
         if is_known {
             inner.record_change(&deregistration.id);
         }
-        inner.last_number += 1;
-        let number = inner.last_number;
-        inner
-            .deregistrations
-            .push_back((number, deregistration.clone()));
-        if inner.deregistrations.len() > MAX_DEREGISTRATIONS {
-            inner.deregistrations.pop_front();
-        }
+        inner.record_deregistration(deregistration);
         drop(inner);
         event(
             Level::Info,
@@ -326,6 +319,38 @@
         self.change_numbers.insert(id.clone(), self.last_number);
     }
 
+    fn record_deregistration(&mut self, deregistration: &Deregistration) {
+        self.last_number += 1;
+        self.deregistrations
+            .push_back((self.last_number, deregistration.clone()));
+        if self.deregistrations.len() > MAX_DEREGISTRATIONS {
+            self.deregistrations.pop_front();
+        }
+    }
+
+    /// Marks endpoints that entries report as leaving; returns whether one accepted requests until
+    /// now.
+    ///
+    /// Unknown endpoints are ignored: each entry reports to every replica that it syncs with.
+    fn apply_departures(&mut self, departures: &[Deregistration]) -> bool {
+        let mut has_changed = false;
+        for departure in departures {
+            let was_accepting = self
+                .directory
+                .deregister_incarnation(&departure.id, departure.incarnation);
+            if was_accepting {
+                event(
+                    Level::Info,
+                    "endpoint_left",
+                    &[("endpoint", &departure.id), ("reported_by", &"entry")],
+                );
+                self.record_deregistration(departure);
+                has_changed = true;
+            }
+        }
+        has_changed
+    }
+
     /// Returns the changes and deregistrations with numbers above `last_seen`, and the endpoints
     /// renewed by a recent heartbeat.
     fn updates_after(
@@ -365,7 +390,7 @@
     ///
     /// This is a long poll: while nothing changes, the reply is delayed by up to
     /// [`SYNC_POLL_TIMEOUT`].
-    pub(super) async fn sync(&self, request: SyncRequest) -> SyncReply {
+    pub async fn sync(&self, request: SyncRequest) -> SyncReply {
         self.record_entry(&request);
         let poll_end = self.clock.now() + SYNC_POLL_TIMEOUT;
         loop {
@@ -385,13 +410,15 @@
     fn record_entry(&self, request: &SyncRequest) {
         let now = self.clock.now();
         let mut inner = self.inner();
+        // Departures concern endpoints, so they count whichever incarnation of the entry reports.
+        let has_departures = inner.apply_departures(&request.departures.updates);
         let previous = inner.entries.get(&request.info.vm);
         let is_outdated =
             previous.is_some_and(|record| record.info.incarnation > request.info.incarnation);
         if is_outdated {
             return;
         }
-        let is_changed = previous.is_none_or(|record| record.info != request.info);
+        let is_listed_anew = previous.is_none_or(|record| record.info != request.info);
         let record = EntryRecord {
             info: request.info.clone(),
             last_sync: now,
@@ -406,9 +433,11 @@
         if !request.suspects.is_empty() {
             inner.crashes.merge(&request.suspects, now);
         }
-        if is_changed {
+        if is_listed_anew {
             inner.entries_version += 1;
-            drop(inner);
+        }
+        drop(inner);
+        if is_listed_anew || has_departures {
             self.updated.notify(usize::MAX);
         }
     }
--- a/papayatrayd/src/gateway/dialect.rs
+++ b/papayatrayd/src/gateway/dialect.rs
@@ -94,6 +94,10 @@
     pub request_id: Option<String>,
     /// Confidence of the model in its output, from 0 to 100.
     pub confidence: Option<u32>,
+    /// Whether the endpoint states that it is leaving and wants no further requests.
+    pub is_leaving: bool,
+    /// Time for which the endpoint, which turned the request away, wants none from this entry.
+    pub pause: Option<Millis>,
 }
 
 /// Header conventions of a deployment.
@@ -110,6 +114,11 @@
     /// Headers that only the gateway may set are replaced, never taken from the caller.
     fn endpoint_headers(&self, headers: &HeaderMap, attempt: &AttemptContext<'_>) -> HeaderMap;
 
+    /// Returns the headers of an endpoint's response that are forwarded to the caller.
+    ///
+    /// Those that concern only one connection, or are meant for the gateway, are left out.
+    fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap;
+
     /// Reads the metadata of an endpoint's response.
     fn response_metadata(&self, head: &response::Parts) -> ResponseMetadata;
 }
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -6,6 +6,7 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::directory::Directory;
 use papayatray_core::directory::Endpoint;
+use papayatray_core::gateway::pauses::Pauses;
 use papayatray_core::gateway::placement;
 use papayatray_core::gateway::placement::Backlog;
 use papayatray_core::gateway::placement::Candidate;
@@ -24,6 +25,7 @@
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::ServiceId;
+use papayatray_wire::peer::Deregistration;
 use papayatray_wire::peer::EndpointLoad;
 use papayatray_wire::peer::EndpointUpdates;
 
@@ -32,6 +34,9 @@
 /// Cached-prefix updates retained until the control replicas have received them; covers some
 /// seconds of an entry's requests.
 const MAX_PREFIX_UPDATES: usize = 256;
+/// Departures retained until the control replicas have received them; more than endpoints leave
+/// within the time of a lost connection.
+const MAX_DEPARTURES: usize = 256;
 
 /// Endpoint selected for an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -98,6 +103,10 @@
     /// Additions to `cached_prefixes` by this entry, to be sent to the other entries.
     prefix_updates: UpdateLog<CachedPrefix>,
     health: BTreeMap<ServiceId, Health>,
+    /// Endpoints that want no requests from this entry for a time.
+    pauses: Pauses,
+    /// Endpoints that stated to this entry that they are leaving, for the control replicas.
+    departures: UpdateLog<Deregistration>,
     heartbeat_interval: Millis,
 }
 
@@ -112,6 +121,8 @@
             cached_prefixes: PrefixDirectory::default(),
             prefix_updates: UpdateLog::new(MAX_PREFIX_UPDATES),
             health: BTreeMap::new(),
+            pauses: Pauses::default(),
+            departures: UpdateLog::new(MAX_DEPARTURES),
         }
     }
 
@@ -156,6 +167,55 @@
             health.forget(id);
         }
         self.cached_prefixes.forget(id);
+        self.pauses.forget(id);
+    }
+
+    /// Records that an endpoint stated in a response that it is leaving, which holds for the rest
+    /// of its incarnation.
+    ///
+    /// Returns whether it accepted requests until now.
+    pub(super) fn record_departure(&mut self, selected: &SelectedEndpoint) -> bool {
+        let departure = Deregistration {
+            id: selected.id.clone(),
+            incarnation: Some(selected.incarnation),
+        };
+        let was_accepting = self
+            .directory
+            .deregister_incarnation(&departure.id, departure.incarnation);
+        if was_accepting {
+            self.departures.push(departure);
+        }
+        was_accepting
+    }
+
+    /// Returns the departures that this entry recorded after number `number`.
+    pub(super) fn departures_since(&self, number: u64) -> UpdateBatch<Deregistration> {
+        self.departures.batch_since(number)
+    }
+
+    /// Records that an endpoint wants no requests from this entry for a time.
+    pub(super) fn record_pause(
+        &mut self,
+        selected: &SelectedEndpoint,
+        duration: Millis,
+        now: Millis,
+    ) {
+        self.pauses
+            .record(&selected.id, selected.incarnation, duration, now);
+    }
+
+    /// Returns the time until the first of a service's endpoints may get requests again, or `None`
+    /// unless all that accept requests are paused.
+    pub(super) fn shortest_pause(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
+        let accepting = self.directory.accepting().filter(|e| e.runs(service));
+        let mut shortest = None;
+        for endpoint in accepting {
+            let remaining = self
+                .pauses
+                .remaining(&endpoint.id, endpoint.incarnation, now)?;
+            shortest = Some(shortest.map_or(remaining, |other: Millis| other.min(remaining)));
+        }
+        shortest
     }
 
     /// Replaces the load that other entries' requests cause.
@@ -179,10 +239,7 @@
 
     /// Returns the prefixes that this entry's requests cached after update number `number`.
     pub(super) fn cached_prefixes_since(&self, number: u64) -> UpdateBatch<CachedPrefix> {
-        UpdateBatch {
-            last_number: self.prefix_updates.last_number(),
-            updates: self.prefix_updates.since(number).cloned().collect(),
-        }
+        self.prefix_updates.batch_since(number)
     }
 
     /// Returns the load that this entry's requests cause.
@@ -201,8 +258,9 @@
         let mut primary = Vec::new();
         let mut fallback = Vec::new();
         let accepting = self.directory.accepting();
-        let untried =
-            accepting.filter(|e| e.runs(query.service) && !query.excluded.contains(&e.id));
+        let is_paused = |e: &Endpoint| self.pauses.remaining(&e.id, e.incarnation, now).is_some();
+        let untried = accepting
+            .filter(|e| e.runs(query.service) && !query.excluded.contains(&e.id) && !is_paused(e));
         for endpoint in untried {
             match (query.eligibility)(&endpoint.release) {
                 ReleaseEligibility::Preferred => primary.push(self.candidate(endpoint, query, now)),
--- a/papayatrayd/src/gateway/headers.rs
+++ b/papayatrayd/src/gateway/headers.rs
@@ -3,10 +3,12 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::StatusCode;
 use http::header;
 use http::request;
 use http::response;
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::pauses::requested_pause;
 use papayatray_core::id::OrganisationId;
 
 use super::dialect::AttemptContext;
@@ -22,6 +24,8 @@
 /// Status with which an endpoint rejects a request that is meant for another one, as when its
 /// address was reused.
 const MISDIRECTED: u16 = 421;
+/// Value of the header by which an endpoint states that it is leaving.
+const LEAVING: &str = "1";
 
 /// Names of the headers that callers, gateway and endpoints exchange.
 #[derive(Clone, Debug)]
@@ -46,6 +50,8 @@
     pub not_run: HeaderName,
     /// Confidence of the model in its output, from 0 to 100.
     pub confidence: HeaderName,
+    /// Set by endpoints to state that they are leaving; not forwarded in either direction.
+    pub leaving: HeaderName,
     /// Further headers that are removed from callers' requests.
     pub reserved: Vec<HeaderName>,
 }
@@ -63,6 +69,7 @@
             stamp: HeaderName::from_static("papayatray-ran"),
             not_run: HeaderName::from_static("papayatray-not-run"),
             confidence: HeaderName::from_static("papayatray-confidence"),
+            leaving: HeaderName::from_static("papayatray-leaving"),
             reserved: Vec::new(),
         }
     }
@@ -107,7 +114,7 @@
         for name in [&header::AUTHORIZATION, &header::EXPECT] {
             forwarded.remove(name);
         }
-        for name in &names.reserved {
+        for name in names.reserved.iter().chain([&names.leaving]) {
             forwarded.remove(name);
         }
         forwarded.insert(
@@ -130,11 +137,19 @@
         forwarded
     }
 
+    fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap {
+        let mut forwarded = end_to_end(headers);
+        forwarded.remove(&self.names.leaving);
+        forwarded
+    }
+
     fn response_metadata(&self, head: &response::Parts) -> ResponseMetadata {
         let (names, headers) = (&self.names, &head.headers);
         let has_run = headers.contains_key(&names.stamp);
         let is_misdirected = head.status.as_u16() == MISDIRECTED && !has_run;
         ResponseMetadata {
+            is_leaving: header_text(headers, &names.leaving) == Some(LEAVING),
+            pause: pause_of(head),
             not_run: headers.contains_key(&names.not_run) || is_misdirected,
             has_run,
             request_id: header_text(headers, &names.request).map(str::to_owned),
@@ -144,6 +159,16 @@
     }
 }
 
+/// Returns the time for which an endpoint that turned a request away wants no further one.
+fn pause_of(head: &response::Parts) -> Option<Millis> {
+    let turns_away = matches!(
+        head.status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    let value = header_text(&head.headers, &header::RETRY_AFTER).filter(|_| turns_away)?;
+    requested_pause(value)
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -22,6 +22,7 @@
 
 use super::attempts::Attempts;
 use super::attempts::StartedResponse;
+use super::dialect::Dialect;
 use super::dialect::RequestMetadata;
 use super::refusal::Refusal;
 use super::routed_request::NO_ENDPOINT_RETRY_AFTER;
@@ -318,7 +319,12 @@
         ));
     }
     let body = Full::new(body).map_err(|never| match never {});
-    Ok(forwarded_response(&started.head, body.boxed_unsync()))
+    let dialect = &*started.attempt.gateway.dialect;
+    Ok(forwarded_response(
+        dialect,
+        &started.head,
+        body.boxed_unsync(),
+    ))
 }
 
 /// Returns whether a status tells callers that the request has not run.
@@ -326,14 +332,15 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-/// Returns a response with the endpoint's status and end-to-end headers.
+/// Returns a response with the endpoint's status and those of its headers that callers get.
 pub(super) fn forwarded_response(
+    dialect: &dyn Dialect,
     head: &response::Parts,
     body: HandlerBody,
 ) -> Response<HandlerBody> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
-    *response.headers_mut() = end_to_end(&head.headers);
+    *response.headers_mut() = dialect.caller_headers(&head.headers);
     response
 }
 
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -21,6 +21,7 @@
 use papayatray_core::gateway::rollout::ReleaseEligibility;
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::gateway::table::RouteTable;
+use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::Fingerprint;
 use papayatray_core::id::Incarnation;
@@ -29,6 +30,7 @@
 use papayatray_core::lease::EntryInfo;
 use papayatray_core::regression::Tally;
 use papayatray_core::suspicion::EndpointIncarnation;
+use papayatray_wire::peer::Deregistration;
 use papayatray_wire::peer::SyncReply;
 use smol::Timer;
 use smol::future::FutureExt;
@@ -41,6 +43,7 @@
 use super::connection_pool;
 use super::connection_pool::ConnectionPool;
 use super::dialect::Dialect;
+use super::dialect::ResponseMetadata;
 use super::fleet::Fleet;
 use super::fleet::PlacementQuery;
 use super::fleet::Prompt;
@@ -403,6 +406,12 @@
         self.crashes().suspects()
     }
 
+    /// Returns the endpoints that stated to this entry that they are leaving, from update number
+    /// `number` on.
+    pub fn departures_since(&self, number: u64) -> UpdateBatch<Deregistration> {
+        self.fleet().departures_since(number)
+    }
+
     /// Probes an endpoint whose connection was lost; if it refuses connections, records a crash.
     ///
     /// The crash counts against the request `fingerprint`. The probe runs in a separate task.
@@ -431,6 +440,37 @@
         });
     }
 
+    /// Records what an endpoint states about itself in the head of a response: that it is leaving,
+    /// or wants no requests for a time.
+    pub(super) fn record_statements(
+        &self,
+        endpoint: &SelectedEndpoint,
+        metadata: &ResponseMetadata,
+    ) {
+        if metadata.is_leaving && self.fleet().record_departure(endpoint) {
+            self.connections.close_idle(&endpoint.id);
+            self.metrics.count_event("endpoint_leaving");
+            event(
+                Level::Info,
+                "endpoint_leaving",
+                &[
+                    ("endpoint", &endpoint.id),
+                    ("incarnation", &endpoint.incarnation),
+                ],
+            );
+        }
+        if let Some(pause) = metadata.pause {
+            let now = self.clock.now();
+            self.fleet().record_pause(endpoint, pause, now);
+            self.metrics.count_event("endpoint_paused");
+            event(
+                Level::Info,
+                "endpoint_paused",
+                &[("endpoint", &endpoint.id), ("pause_ms", &pause.as_u64())],
+            );
+        }
+    }
+
     pub(super) fn budget(&self) -> MutexGuard<'_, ArrivalBudget> {
         lock(&self.budget)
     }
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -2,6 +2,7 @@
 //! endpoint.
 
 use std::error::Error;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -190,6 +191,7 @@
     in_flight: InFlightGuard,
 ) -> Response<HandlerBody> {
     let head = stream.started.head.clone();
+    let gateway = Arc::clone(&attempts.gateway);
     let relayed = RelayedStream {
         attempts,
         stream: Some(stream),
@@ -210,7 +212,8 @@
             }
         }
     });
-    forwarded_response(&head, StreamBody::new(frames).boxed_unsync())
+    let body = StreamBody::new(frames).boxed_unsync();
+    forwarded_response(&*gateway.dialect, &head, body)
 }
 
 impl RelayedStream {
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -46,6 +46,8 @@
     prefixes_received: u64,
     /// Number of the last cached-prefix update that the replica has acknowledged.
     prefixes_acknowledged: u64,
+    /// Number of the last departure that the replica has acknowledged.
+    departures_acknowledged: u64,
     is_reachable: bool,
     backoff: Millis,
 }
@@ -97,6 +99,7 @@
             match call.or(local_change).await {
                 Some(Ok(reply)) => {
                     sync.prefixes_acknowledged = request.cached_prefixes.last_number;
+                    sync.departures_acknowledged = request.departures.last_number;
                     self.apply_reply(&address, &mut sync, reply, sent_at);
                     sync.record_success(&address);
                 }
@@ -112,10 +115,11 @@
 
     fn sync_request(&self, address: &str, sync: &ReplicaSync) -> SyncRequest {
         let gateway = &self.gateway;
-        let (loads, cached_prefixes) = {
+        let (loads, departures, cached_prefixes) = {
             let fleet = gateway.fleet();
             (
                 fleet.local_loads(),
+                fleet.departures_since(sync.departures_acknowledged),
                 fleet.cached_prefixes_since(sync.prefixes_acknowledged),
             )
         };
@@ -133,6 +137,7 @@
             tallies: gateway.tallies(),
             loads,
             suspects: gateway.suspects(),
+            departures,
             cached_prefixes,
         }
     }
@@ -146,6 +151,8 @@
     ) {
         if sync.cursor.incarnation != reply.endpoints.cursor.incarnation {
             sync.prefixes_received = 0;
+            // A replica that restarted has lost the departures that it acknowledged before.
+            sync.departures_acknowledged = 0;
         }
         sync.cursor = reply.endpoints.cursor;
         if let Some(prefixes) = &reply.cached_prefixes {
--- a/papayatrayd/tests/gateway/main.rs
+++ b/papayatrayd/tests/gateway/main.rs
@@ -5,6 +5,8 @@
 
 mod endpoint;
 mod headers;
+mod leaving;
+mod pauses;
 mod relay;
 mod rig;
 mod settings;
--- /dev/null
+++ b/papayatrayd/tests/gateway/pauses.rs
@@ -0,0 +1,125 @@
+//! Endpoints that turn requests away for a stated time get none from this entry within it.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use papayatray_core::clock::Clock;
+use papayatray_core::clock::Millis;
+use papayatray_core::id::Incarnation;
+use papayatrayd::observe::SystemClock;
+
+use crate::endpoint::FakeEndpoint;
+use crate::endpoint::Step;
+use crate::endpoint::response;
+use crate::rig::Rig;
+use crate::rig::plan;
+
+/// System clock that a test can advance.
+#[derive(Debug, Default)]
+struct AdvancedClock {
+    clock: SystemClock,
+    advance: AtomicU64,
+}
+
+impl Clock for AdvancedClock {
+    fn now(&self) -> Millis {
+        self.clock.now() + Millis::new(self.advance.load(Ordering::Relaxed))
+    }
+
+    fn wall(&self) -> Millis {
+        self.clock.wall()
+    }
+}
+
+/// Returns an endpoint that turns away every request with this `Retry-After`.
+fn pausing_endpoint(retry_after: &'static str) -> FakeEndpoint {
+    FakeEndpoint::start(move |_, request| {
+        let id = request.header("papayatray-request").unwrap_or_default();
+        let rejection = format!(
+            "HTTP/1.1 503 Busy\r\nPapayatray-Request: {id}\r\nPapayatray-Not-Run: 1\r\n\
+             Retry-After: {retry_after}\r\nContent-Length: 0\r\n\r\n",
+        );
+        vec![Step::Send(rejection.into_bytes())]
+    })
+}
+
+/// Returns the value of `Retry-After` in seconds.
+fn retry_after(head: &str) -> f64 {
+    let mut lines = head.lines();
+    let value = lines.find_map(|line| line.strip_prefix("retry-after:"));
+    value.unwrap().trim().parse().unwrap()
+}
+
+#[test]
+fn paused_endpoint_gets_no_request_until_its_time_is_over() {
+    let paused = pausing_endpoint("300.5");
+    let steady =
+        FakeEndpoint::start(|_, request| vec![Step::Send(response(request, "200 OK", "steady"))]);
+    let clock = Arc::new(AdvancedClock::default());
+    let rig = Rig::with_clock(Arc::clone(&clock) as Arc<dyn Clock>);
+    rig.apply_update(plan(), &[&paused, &steady]);
+    let send_until_received = |count| {
+        for _ in 0..200 {
+            if paused.requests().len() >= count {
+                return;
+            }
+            assert_eq!(rig.request("/safe/x", "").status, 200);
+        }
+    };
+    send_until_received(1);
+    for _ in 0..40 {
+        assert_eq!(rig.request("/safe/x", "").status, 200);
+    }
+    assert_eq!(paused.requests().len(), 1);
+    clock.advance.store(301_000, Ordering::Relaxed);
+    send_until_received(2);
+    assert_eq!(paused.requests().len(), 2);
+}
+
+#[test]
+fn request_is_refused_at_once_while_every_endpoint_is_paused() {
+    let endpoints = [pausing_endpoint("200"), pausing_endpoint("300")];
+    let rig = Rig::start(&[&endpoints[0], &endpoints[1]]);
+    // Each endpoint turns the first request away, and so comes to be paused.
+    assert_eq!(rig.request("/safe/x", "").status, 503);
+    let refused = rig.request("/safe/x", "");
+    assert_eq!(refused.status, 503);
+    // The earlier pause ends after 200 s at most; the random addition is up to a half of that.
+    let seconds = retry_after(&refused.head);
+    assert!((150.0..=300.0).contains(&seconds), "{}", refused.head);
+    let received = endpoints.iter().map(|fake| fake.requests().len());
+    assert_eq!(received.sum::<usize>(), 2);
+}
+
+#[test]
+fn streams_and_requests_that_run_once_respect_the_pause() {
+    let paused = pausing_endpoint("200");
+    let rig = Rig::start(&[&paused]);
+    for path in ["/safe/x", "/stream/x", "/once/x", "/stream/x"] {
+        assert_eq!(rig.request(path, "").status, 503);
+    }
+    assert_eq!(paused.requests().len(), 1);
+}
+
+#[test]
+fn restarted_endpoint_is_not_paused() {
+    let paused = pausing_endpoint("200");
+    let rig = Rig::start(&[&paused]);
+    rig.request("/safe/x", "");
+    rig.apply_incarnation(plan(), &[&paused], Incarnation(2), 1);
+    rig.request("/safe/x", "");
+    assert_eq!(paused.requests().len(), 2);
+}
+
+#[test]
+fn unusable_times_pause_nothing() {
+    for value in ["0", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "-3", "inf"] {
+        let endpoint = pausing_endpoint(value);
+        let rig = Rig::start(&[&endpoint]);
+        for _ in 0..2 {
+            assert_eq!(rig.request("/safe/x", "").status, 503);
+        }
+        assert_eq!(endpoint.requests().len(), 2, "{value}");
+    }
+}
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -127,6 +127,24 @@
     }
 }
 
+/// Returns the first announcement of the endpoint `e` and `index`.
+pub fn announcement(index: usize, fake: &FakeEndpoint) -> Endpoint {
+    Endpoint {
+        id: EndpointId::new(format!("e{index}")).unwrap(),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        address: fake.address.to_string(),
+        data_centre: DataCentre::new("here").unwrap(),
+        offer: Offer::Service(ServiceId::new("app").unwrap()),
+        slots: 8,
+        fences: false,
+        leaving: false,
+        load: Load::default(),
+        release: "v1".to_owned(),
+        warm_up_left: Millis::ZERO,
+    }
+}
+
 impl Rig {
     /// Starts an entry with [`plan`] and these endpoints, whose ids are `e0`, `e1` and so on.
     pub fn start(endpoints: &[&FakeEndpoint]) -> Self {
@@ -173,19 +191,22 @@
 
     /// Applies an update with a plan and endpoints, and evidence that the plan is the newest.
     pub fn apply_update(&self, plan: Plan, endpoints: &[&FakeEndpoint]) {
+        self.apply_incarnation(plan, endpoints, Incarnation(1), 1);
+    }
+
+    /// Applies an update like [`Self::apply_update`], with this incarnation and sequence number of
+    /// all endpoints.
+    pub fn apply_incarnation(
+        &self,
+        plan: Plan,
+        endpoints: &[&FakeEndpoint],
+        incarnation: Incarnation,
+        sequence: u64,
+    ) {
         let changed = endpoints.iter().enumerate().map(|(index, fake)| Endpoint {
-            id: EndpointId::new(format!("e{index}")).unwrap(),
-            incarnation: Incarnation(1),
-            sequence: 1,
-            address: fake.address.to_string(),
-            data_centre: DataCentre::new("here").unwrap(),
-            offer: Offer::Service(ServiceId::new("app").unwrap()),
-            slots: 8,
-            fences: false,
-            leaving: false,
-            load: Load::default(),
-            release: "v1".to_owned(),
-            warm_up_left: Millis::ZERO,
+            incarnation,
+            sequence,
+            ..announcement(index, fake)
         });
         let reply = SyncReply {
             is_current: true,
