--- a/papayatray_core/src/clock.rs
+++ b/papayatray_core/src/clock.rs
@@ -69,3 +69,42 @@
     /// Returns the wall-clock time since the Unix epoch.
     fn wall(&self) -> Millis;
 }
+
+/// Clock whose wall-clock time follows its monotonic one, so that it never jumps.
+///
+/// The wall clock of `C` is read once; where it is set to another time later, this one goes on.
+#[derive(Clone, Copy, Debug)]
+pub struct SteadyClock<C> {
+    source: C,
+    /// Monotonic time at which the wall clock was read.
+    read_at: Millis,
+    /// Wall-clock time that was read.
+    wall: Millis,
+}
+
+impl<C> SteadyClock<C>
+where
+    C: Clock,
+{
+    /// Creates a clock with the present wall-clock time of `source`.
+    pub fn new(source: C) -> Self {
+        Self {
+            read_at: source.now(),
+            wall: source.wall(),
+            source,
+        }
+    }
+}
+
+impl<C> Clock for SteadyClock<C>
+where
+    C: Clock,
+{
+    fn now(&self) -> Millis {
+        self.source.now()
+    }
+
+    fn wall(&self) -> Millis {
+        self.wall + self.source.now().since(self.read_at)
+    }
+}
--- a/papayatray_core/src/gateway/crashes.rs
+++ b/papayatray_core/src/gateway/crashes.rs
@@ -20,7 +20,8 @@
 /// Time from the first report of a suspect until it is forgotten; callers stop retrying long
 /// before.
 const SUSPECT_RETENTION: Millis = Millis::from_secs(120);
-/// Maximum number of suspects; if there are more, those reported first are evicted.
+/// Maximum number of suspects of an entry; of more, those with the fewest crashes are evicted, and
+/// among these the ones reported first.
 const MAX_SUSPECTS: usize = 512;
 
 /// Request that may have crashed endpoints, as exchanged between entries and control replicas.
@@ -39,12 +40,27 @@
 }
 
 /// Suspects by fingerprint.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CrashTable {
     records: BTreeMap<Fingerprint, Record>,
+    capacity: usize,
+}
+
+impl Default for CrashTable {
+    fn default() -> Self {
+        Self::with_capacity(MAX_SUSPECTS)
+    }
 }
 
 impl CrashTable {
+    /// Creates a table that keeps at most `capacity` suspects.
+    pub const fn with_capacity(capacity: usize) -> Self {
+        Self {
+            records: BTreeMap::new(),
+            capacity,
+        }
+    }
+
     /// Records that `incarnation` crashed while it ran the request.
     pub fn record_crash(
         &mut self,
@@ -63,26 +79,46 @@
 
     /// Merges suspects reported by other processes, and drops expired ones.
     ///
-    /// A crash that is reported repeatedly counts once.
-    pub fn merge(&mut self, suspects: &[Suspect], now: Millis) {
+    /// A crash that is reported repeatedly counts once. Returns the suspects that are quarantined
+    /// from now on.
+    pub fn merge(&mut self, suspects: &[Suspect], now: Millis) -> Vec<Suspect> {
         self.records
             .retain(|_, record| now.since(record.first_reported_at) < SUSPECT_RETENTION);
+        let mut quarantined = Vec::new();
         for suspect in suspects {
+            let was_quarantined = self.is_quarantined(suspect.fingerprint);
             let record = self.records.entry(suspect.fingerprint).or_insert(Record {
                 crashed: BTreeSet::new(),
                 first_reported_at: now,
             });
             record.crashed.extend(suspect.crashed.iter().cloned());
+            if !was_quarantined && record.crashed.len() >= QUARANTINE_CRASHES {
+                quarantined.push(Suspect {
+                    fingerprint: suspect.fingerprint,
+                    crashed: record.crashed.clone(),
+                });
+            }
+        }
+        self.evict_beyond_capacity();
+        quarantined
+    }
+
+    /// A crash of one endpoint makes suspects of all requests that it ran; few crash a second one.
+    fn evict_beyond_capacity(&mut self) {
+        let excess = self.records.len().saturating_sub(self.capacity);
+        if excess == 0 {
+            return;
         }
-        while self.records.len() > MAX_SUSPECTS {
-            let oldest = self
-                .records
-                .iter()
-                .min_by_key(|(_, record)| record.first_reported_at);
-            let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) else {
-                return;
-            };
-            self.records.remove(&oldest);
+        let mut ranked: Vec<(usize, Millis, Fingerprint)> = self
+            .records
+            .iter()
+            .map(|(fingerprint, record)| {
+                (record.crashed.len(), record.first_reported_at, *fingerprint)
+            })
+            .collect();
+        ranked.sort_unstable();
+        for (_, _, fingerprint) in ranked.into_iter().take(excess) {
+            self.records.remove(&fingerprint);
         }
     }
 
--- a/papayatray_core/src/gateway/mod.rs
+++ b/papayatray_core/src/gateway/mod.rs
@@ -5,11 +5,14 @@
 
 pub mod arrivals;
 pub mod crashes;
+pub mod entry_register;
 pub mod freshness;
+pub mod load_table;
 pub mod pauses;
 pub mod placement;
 pub mod plan;
 pub mod prefix_directory;
+pub mod replicas;
 pub mod rollout;
 pub mod sizing;
 pub mod speed;
--- a/papayatray_core/src/gateway/updates.rs
+++ b/papayatray_core/src/gateway/updates.rs
@@ -78,14 +78,18 @@
             .skip(count_seen(self.last_number, self.updates.len(), seen))
     }
 
-    /// Returns a copy of the stored updates with a number above `seen`.
-    pub fn batch_since(&self, seen: u64) -> UpdateBatch<T>
+    /// Returns a copy of the first `limit` stored updates with a number above `seen`.
+    ///
+    /// A later call with the number of the batch returns those that follow.
+    pub fn batch_since(&self, seen: u64, limit: usize) -> UpdateBatch<T>
     where
         T: Clone,
     {
+        let pending = self.since(seen).count();
+        let left_out = pending.saturating_sub(limit);
         UpdateBatch {
-            last_number: self.last_number,
-            updates: self.since(seen).cloned().collect(),
+            last_number: self.last_number - left_out as u64,
+            updates: self.since(seen).take(limit).cloned().collect(),
         }
     }
 }
@@ -130,14 +134,16 @@
             .insert(writer.clone(), (incarnation, last_number));
     }
 
-    /// Returns the updates of the other writers after number `seen` of this relay's log.
+    /// Returns the updates of the other writers among the first `limit` after number `seen` of this
+    /// relay's log.
     ///
     /// The reader's own updates are left out, so the batch may hold fewer updates than numbers.
-    pub fn updates_for(&self, reader: &VmId, seen: u64) -> UpdateBatch<T> {
-        let others = self.updates.since(seen).filter(|(vm, _)| vm != reader);
+    pub fn updates_for(&self, reader: &VmId, seen: u64, limit: usize) -> UpdateBatch<T> {
+        let batch = self.updates.batch_since(seen, limit);
+        let others = batch.updates.into_iter().filter(|(vm, _)| vm != reader);
         UpdateBatch {
-            last_number: self.updates.last_number(),
-            updates: others.map(|(_, update)| update.clone()).collect(),
+            last_number: batch.last_number,
+            updates: others.map(|(_, update)| update).collect(),
         }
     }
 
--- a/papayatray_core/tests/core/gateway_crashes.rs
+++ b/papayatray_core/tests/core/gateway_crashes.rs
@@ -62,3 +62,31 @@
     }
     assert!(table.suspects().len() <= 512);
 }
+
+/// Half of the endpoints of a large fleet crash at once with full slots; a request that crashed one
+/// before must not be forgotten among those that were merely in flight.
+#[test]
+fn mass_crash_does_not_evict_a_request_that_crashed_endpoints_before() {
+    let mut table = CrashTable::default();
+    table.record_crash(POISON, incarnation(1), NOW);
+    table.record_crash(POISON, incarnation(2), NOW);
+    for number in 0..2_000_u64 {
+        let innocent = Fingerprint(u128::from(1_000 + number));
+        table.record_crash(innocent, incarnation(3 + number % 40), NOW);
+    }
+    table.record_crash(POISON, incarnation(100), NOW);
+    assert!(table.is_quarantined(POISON));
+}
+
+#[test]
+fn merge_names_a_request_once_when_it_becomes_quarantined() {
+    let mut table = CrashTable::default();
+    let reported: Vec<usize> = (0..5)
+        .map(|number| {
+            let mut entry_table = CrashTable::default();
+            entry_table.record_crash(POISON, incarnation(number), NOW);
+            table.merge(&entry_table.suspects(), NOW).len()
+        })
+        .collect();
+    assert_eq!(reported, vec![0, 0, 1, 0, 0]);
+}
--- a/papayatray_core/tests/core/gateway_prefixes.rs
+++ b/papayatray_core/tests/core/gateway_prefixes.rs
@@ -139,12 +139,20 @@
     relay.receive(&a, Incarnation(1), &batch(2, &[10, 11]));
     relay.receive(&a, Incarnation(1), &batch(3, &[10, 11, 12]));
     relay.receive(&b, Incarnation(1), &batch(1, &[20]));
-    assert_eq!(relay.updates_for(&a, 0).updates, [20]);
-    let first = relay.updates_for(&b, 0);
+    assert_eq!(relay.updates_for(&a, 0, usize::MAX).updates, [20]);
+    let first = relay.updates_for(&b, 0, usize::MAX);
     assert_eq!(first.updates, [10, 11, 12]);
-    assert!(relay.updates_for(&b, first.last_number).updates.is_empty());
+    assert!(
+        relay
+            .updates_for(&b, first.last_number, usize::MAX)
+            .updates
+            .is_empty()
+    );
     relay.receive(&a, Incarnation(1), &batch(4, &[13]));
-    assert_eq!(relay.updates_for(&b, first.last_number).updates, [13]);
+    assert_eq!(
+        relay.updates_for(&b, first.last_number, usize::MAX).updates,
+        [13]
+    );
 }
 
 #[test]
@@ -153,9 +161,30 @@
     let mut relay = UpdateRelay::new(8);
     relay.receive(&a, Incarnation(1), &batch(5, &[10]));
     relay.receive(&a, Incarnation(2), &batch(1, &[11]));
-    assert_eq!(relay.updates_for(&b, 0).updates, [10, 11]);
+    assert_eq!(relay.updates_for(&b, 0, usize::MAX).updates, [10, 11]);
     // Updates of a writer that was forgotten meanwhile may be relayed twice, which is harmless.
     relay.retain(|writer| *writer != a);
     relay.receive(&a, Incarnation(2), &batch(2, &[11, 12]));
-    assert_eq!(relay.updates_for(&b, 2).updates, [11, 12]);
+    assert_eq!(relay.updates_for(&b, 2, usize::MAX).updates, [11, 12]);
+}
+
+#[test]
+fn limited_batches_deliver_each_update_once_and_in_order() {
+    let mut log = UpdateLog::new(10);
+    for update in 0..25 {
+        log.push(update);
+    }
+    let mut received = Vec::new();
+    let mut seen = 0;
+    loop {
+        let batch = log.batch_since(seen, 4);
+        if batch.updates.is_empty() {
+            break;
+        }
+        seen = batch.last_number;
+        received.extend(batch.updates);
+    }
+    // The log keeps the last ten.
+    assert_eq!(received, (15..25).collect::<Vec<_>>());
+    assert_eq!(seen, 25);
 }
--- a/papayatray_wire/src/peer/gateway.rs
+++ b/papayatray_wire/src/peer/gateway.rs
@@ -3,10 +3,14 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::directory::Endpoint;
 use papayatray_core::gateway::crashes::Suspect;
+use papayatray_core::gateway::entry_register::EntryUpdates;
+use papayatray_core::gateway::load_table::EndpointWork;
+use papayatray_core::gateway::load_table::WorkUpdates;
 use papayatray_core::gateway::plan::Plan;
 use papayatray_core::gateway::prefix_directory::CachedPrefix;
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::gateway::updates::UpdateBatch;
+use papayatray_core::id::DataCentre;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::PlanVersion;
@@ -16,8 +20,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Long-poll time-out of a sync: a control replica replies after this time even without updates.
+/// Long-poll time-out of a sync with the leader, which renews the entry's evidence: the leader
+/// replies after this time even without updates.
 pub const SYNC_POLL_TIMEOUT: Millis = Millis::new(200);
+/// Long-poll time-out of a sync with a replica that is not the leader; it replies earlier if it
+/// becomes the leader or has updates.
+pub const STANDBY_POLL_TIMEOUT: Millis = Millis::from_secs(1);
 
 /// Position in the endpoint updates of one control replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,13 +44,26 @@
     /// Position of the last endpoint update received.
     #[serde(rename = "news")]
     pub endpoints: Cursor,
-    /// Version of the list of entries.
+    /// Newest plan that the replica has named.
+    #[serde(default)]
+    pub named_plan: PlanVersion,
+    /// Number of the last change of the list of entries. This and the following numbers hold within
+    /// the incarnation in `endpoints`.
     pub entries: u64,
     /// Version of the roll-outs.
     pub rollouts: u64,
-    /// Number of the last update of cached prefixes, within the incarnation in `endpoints`.
+    /// Number of the last update of cached prefixes.
     #[serde(rename = "warm")]
     pub cached_prefixes: u64,
+    /// Number of the last heartbeat of an endpoint.
+    #[serde(default)]
+    pub heartbeats: u64,
+    /// Number of the last change of the endpoints' loads, or 0 to get all.
+    #[serde(default)]
+    pub loads: u64,
+    /// Number of the last quarantined request.
+    #[serde(default)]
+    pub quarantined: u64,
 }
 
 /// Results of one release of a service at one entry since that entry started.
@@ -56,18 +77,6 @@
     pub tally: Tally,
 }
 
-/// Outstanding work of requests at an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointLoad {
-    /// Endpoint that does the work.
-    pub id: EndpointId,
-    /// Number of requests that run or wait there.
-    pub running: u32,
-    /// Estimated time in milliseconds that the outstanding prefill of their prompts takes.
-    #[serde(rename = "reading")]
-    pub prefill_ms: u32,
-}
-
 /// Request of [`Method::Sync`](super::Method::Sync), from an entry to each control replica.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SyncRequest {
@@ -76,12 +85,21 @@
     /// Versions of the state that the entry has.
     #[serde(rename = "seen")]
     pub versions: GatewayVersions,
+    /// Time after which the replica replies even without updates.
+    #[serde(rename = "wait")]
+    pub poll_timeout: Millis,
+    /// Whether the entry takes the replica for the leader; one that is not of the same opinion
+    /// replies at once.
+    pub expects_leader: bool,
+    /// Whether the reply is to contain a newer plan, not only its version.
+    pub wants_plan: bool,
     /// Results of each release at this entry.
     pub tallies: Vec<ReleaseTally>,
-    /// Outstanding work of this entry's requests, by endpoint.
-    pub loads: Vec<EndpointLoad>,
+    /// Outstanding work of this entry's requests, by endpoint; `None` to a replica that is not the
+    /// leader.
+    pub loads: Option<Vec<(EndpointId, EndpointWork)>>,
     /// Requests during which this entry has seen endpoints crash.
-    pub suspects: Vec<Suspect>,
+    pub suspects: UpdateBatch<Suspect>,
     /// Endpoints that stated to this entry that they are leaving.
     #[serde(default)]
     pub departures: UpdateBatch<Deregistration>,
@@ -110,7 +128,10 @@
     /// Endpoints that were deregistered without a final announcement.
     #[serde(rename = "departed")]
     pub deregistered: Vec<Deregistration>,
-    /// Endpoints that have announced themselves recently, changed or not.
+    /// Number of the last heartbeat included in `renewed`.
+    #[serde(default)]
+    pub heartbeats: u64,
+    /// Endpoints that sent a heartbeat since, changed or not.
     pub renewed: Vec<EndpointId>,
 }
 
@@ -126,20 +147,22 @@
     /// Updates of endpoints since the entry's cursor.
     #[serde(rename = "news")]
     pub endpoints: EndpointUpdates,
-    /// Version of the list of entries.
-    pub entries_version: u64,
-    /// Entries, if they changed.
-    pub entries: Option<Vec<EntryInfo>>,
+    /// Data centre of the replica.
+    #[serde(default)]
+    pub data_centre: Option<DataCentre>,
+    /// Changes of the list of entries.
+    pub entries: EntryUpdates,
     /// Roll-outs, if they changed; their times are from the same clock as `wall`.
     pub rollouts: Option<RolloutTable>,
     /// Wall-clock time of the replica since the Unix epoch.
     pub wall: Millis,
     /// Addresses of the control replicas.
     pub controls: Vec<String>,
-    /// Outstanding work of all other entries' requests, by endpoint; only from the leader.
-    pub loads: Option<Vec<EndpointLoad>>,
-    /// Suspects known from all entries that sync with this replica.
-    pub suspects: Vec<Suspect>,
+    /// Changes of the outstanding work at endpoints, of all entries' requests; only from the
+    /// leader.
+    pub loads: Option<WorkUpdates>,
+    /// Requests that crashed so many endpoints that no entry may send them again.
+    pub quarantined: UpdateBatch<Suspect>,
     /// Prompt prefixes that endpoints have cached through requests of other entries; only from
     /// the leader.
     #[serde(rename = "warm")]
--- a/papayatrayd/src/daemon.rs
+++ b/papayatrayd/src/daemon.rs
@@ -9,6 +9,7 @@
 use jsonrpsee_core::server::RpcModule;
 use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
+use papayatray_core::clock::SteadyClock;
 use papayatray_wire::link::ClusterKey;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
@@ -137,7 +138,7 @@
         let file = settings.file.clone();
         let metrics = Metrics::new(file.metrics.address, &file.vm);
         let metrics = Arc::new(metrics.map_err(|error| DaemonError::Metrics(error.to_string()))?);
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+        let clock: Arc<dyn Clock> = Arc::new(SteadyClock::new(SystemClock::default()));
         let key = ClusterKey::new(file.cluster_secret.expose());
         let peers = Arc::new(Peers::new(tasks.clone(), key.clone()));
         // Sockets are bound first, so that an address conflict shows before any state is touched.
--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -14,40 +14,40 @@
 use papayatray_core::directory::Directory;
 use papayatray_core::directory::Endpoint;
 use papayatray_core::gateway::crashes::CrashTable;
+use papayatray_core::gateway::crashes::Suspect;
+use papayatray_core::gateway::entry_register::EntryRegister;
+use papayatray_core::gateway::load_table::LoadTable;
 use papayatray_core::gateway::plan::Plan;
 use papayatray_core::gateway::prefix_directory::CachedPrefix;
 use papayatray_core::gateway::rollout::RolloutTable;
+use papayatray_core::gateway::updates::UpdateLog;
 use papayatray_core::gateway::updates::UpdateRelay;
+use papayatray_core::id::DataCentre;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::PlanVersion;
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
-use papayatray_core::lease::EntryInfo;
 use papayatray_core::regression::Tally;
 use papayatray_state::node::Node;
 use papayatray_state::storage::FolderDisk;
 use papayatray_wire::peer::Cursor;
 use papayatray_wire::peer::Deregistration;
-use papayatray_wire::peer::EndpointLoad;
 use papayatray_wire::peer::EndpointUpdates;
 use papayatray_wire::peer::ReleaseTally;
-use papayatray_wire::peer::SYNC_POLL_TIMEOUT;
 use papayatray_wire::peer::SpreadRequest;
-use papayatray_wire::peer::SyncReply;
-use papayatray_wire::peer::SyncRequest;
-use smol::Timer;
-use smol::future::FutureExt;
 
 use crate::control::TurnObserver;
 use crate::observe::Level;
 use crate::observe::event;
 
-/// Time without a sync request after which an entry is removed from the list.
-const ENTRY_TTL: Millis = Millis::new(1_500);
-/// Time after a heartbeat during which replies report the endpoint as renewed; longer than
-/// [`SYNC_POLL_TIMEOUT`], so that each entry gets a reply within it.
-const RENEWED_WINDOW: Millis = Millis::new(800);
+mod sync;
+
+/// Suspects retained from all entries: those in flight at half of the endpoints of a large
+/// deployment, should they crash at once.
+const MAX_SUSPECTS: usize = 4_096;
+/// Quarantined requests retained for entries that start later.
+const MAX_QUARANTINED: usize = 256;
 /// Deregistrations retained for entries that sync late.
 const MAX_DEREGISTRATIONS: usize = 1_024;
 /// Cached-prefix updates retained for entries that sync late; covers some seconds of all entries'
@@ -65,15 +65,6 @@
     lease_end: Option<Millis>,
 }
 
-/// Last sync request of an entry.
-#[derive(Debug)]
-struct EntryRecord {
-    info: EntryInfo,
-    last_sync: Millis,
-    loads: Vec<EndpointLoad>,
-    tallies: Vec<ReleaseTally>,
-}
-
 /// Good and bad responses of one release, by the entry that counted them and its incarnation.
 pub(super) type EntryTallies = BTreeMap<(VmId, Incarnation), Tally>;
 
@@ -86,9 +77,16 @@
     deregistrations: VecDeque<(u64, Deregistration)>,
     /// Number of the last change or deregistration.
     last_number: u64,
-    entries: BTreeMap<VmId, EntryRecord>,
-    entries_version: u64,
+    /// Number of the last heartbeat of each endpoint, and of the last one of all.
+    heartbeat_numbers: BTreeMap<EndpointId, u64>,
+    last_heartbeat: u64,
+    entries: EntryRegister,
+    /// Results of each release, by entry.
+    tallies: BTreeMap<VmId, Vec<ReleaseTally>>,
+    loads: LoadTable,
     crashes: CrashTable,
+    /// Requests that were quarantined, for the entries.
+    quarantined: UpdateLog<Suspect>,
     cached_prefixes: UpdateRelay<CachedPrefix>,
 }
 
@@ -96,6 +94,8 @@
 #[derive(Debug)]
 pub struct ControlState {
     clock: Arc<dyn Clock>,
+    /// Data centre of the replica, if it is known.
+    data_centre: Option<DataCentre>,
     incarnation: Incarnation,
     inner: Mutex<Inner>,
     /// Notified when waiting sync requests have to be checked for updates.
@@ -104,7 +104,7 @@
 
 impl ControlState {
     /// Creates the state of a replica that has applied nothing and knows no endpoints or entries.
-    pub fn new(clock: Arc<dyn Clock>) -> Self {
+    pub fn new(clock: Arc<dyn Clock>, data_centre: Option<DataCentre>) -> Self {
         let wall = clock.wall().as_u64();
         let inner = Inner {
             applied: Applied::default(),
@@ -112,11 +112,13 @@
             change_numbers: BTreeMap::new(),
             deregistrations: VecDeque::new(),
             last_number: 0,
-            entries: BTreeMap::new(),
-            // Starts at the wall clock, so that a restarted replica uses no version that an entry
-            // has already received.
-            entries_version: wall,
-            crashes: CrashTable::default(),
+            heartbeat_numbers: BTreeMap::new(),
+            last_heartbeat: 0,
+            entries: EntryRegister::default(),
+            tallies: BTreeMap::new(),
+            loads: LoadTable::default(),
+            crashes: CrashTable::with_capacity(MAX_SUSPECTS),
+            quarantined: UpdateLog::new(MAX_QUARANTINED),
             cached_prefixes: UpdateRelay::new(MAX_PREFIX_UPDATES),
         };
         Self {
@@ -124,6 +126,7 @@
             inner: Mutex::new(inner),
             updated: Event::new(),
             clock,
+            data_centre,
         }
     }
 
@@ -180,8 +183,10 @@
         let machine = node.machine();
         let mut inner = self.state.inner();
         let applied = &mut inner.applied;
+        let led_before = applied.has_leader_lease(now);
         applied.lease_end = node.replica().current_until(now);
-        let mut is_changed = false;
+        // Entries renew their evidence at the leader, so they must hear of a new one at once.
+        let mut is_changed = led_before != applied.has_leader_lease(now);
         let publication = machine.publication();
         let version = publication
             .map(|publication| publication.plan.version)
@@ -222,6 +227,7 @@
         if !inner.directory.merge(endpoint, now) {
             return false;
         }
+        inner.record_heartbeat(&endpoint.id);
         let evicted = inner.directory.evict_address(endpoint);
         let after = inner.directory.get(&endpoint.id).cloned();
         let has_changed =
@@ -314,6 +320,12 @@
 }
 
 impl Inner {
+    fn record_heartbeat(&mut self, id: &EndpointId) {
+        self.last_heartbeat += 1;
+        self.heartbeat_numbers
+            .insert(id.clone(), self.last_heartbeat);
+    }
+
     fn record_change(&mut self, id: &EndpointId) {
         self.last_number += 1;
         self.change_numbers.insert(id.clone(), self.last_number);
@@ -351,13 +363,12 @@
         has_changed
     }
 
-    /// Returns the changes and deregistrations with numbers above `last_seen`, and the endpoints
-    /// renewed by a recent heartbeat.
+    /// Returns the changes, deregistrations and heartbeats with higher numbers than those seen.
     fn updates_after(
         &self,
         last_seen: u64,
+        heartbeats_seen: u64,
         incarnation: Incarnation,
-        now: Millis,
     ) -> EndpointUpdates {
         let changed = self
             .change_numbers
@@ -365,11 +376,10 @@
             .filter(|(_, number)| **number > last_seen);
         let changed = changed.filter_map(|(id, _)| self.directory.get(id));
         let deregistered = self.deregistrations.iter().filter(|(n, _)| *n > last_seen);
-        let is_renewed = |endpoint: &&Endpoint| {
-            let last_heard = self.directory.last_heard(&endpoint.id);
-            last_heard.is_some_and(|time| now.since(time) < RENEWED_WINDOW)
-        };
-        let renewed = self.directory.accepting().filter(is_renewed);
+        let renewed = self
+            .heartbeat_numbers
+            .iter()
+            .filter(|(_, number)| **number > heartbeats_seen);
         EndpointUpdates {
             cursor: Cursor {
                 incarnation,
@@ -379,189 +389,8 @@
             deregistered: deregistered
                 .map(|(_, deregistration)| deregistration.clone())
                 .collect(),
-            renewed: renewed.map(|endpoint| endpoint.id.clone()).collect(),
-        }
-    }
-}
-
-/// # Entries
-impl ControlState {
-    /// Returns what changed since the entry's last sync.
-    ///
-    /// This is a long poll: while nothing changes, the reply is delayed by up to
-    /// [`SYNC_POLL_TIMEOUT`].
-    pub async fn sync(&self, request: SyncRequest) -> SyncReply {
-        self.record_entry(&request);
-        let poll_end = self.clock.now() + SYNC_POLL_TIMEOUT;
-        loop {
-            let listener = self.updated.listen();
-            let now = self.clock.now();
-            if now >= poll_end || self.has_updates(&request) {
-                return self.reply(&request, now);
-            }
-            let timeout = async {
-                Timer::after(poll_end.since(now).to_duration()).await;
-            };
-            listener.or(timeout).await;
-        }
-    }
-
-    /// Stores an entry's sync request, unless a later incarnation of the entry has synced already.
-    fn record_entry(&self, request: &SyncRequest) {
-        let now = self.clock.now();
-        let mut inner = self.inner();
-        // Departures concern endpoints, so they count whichever incarnation of the entry reports.
-        let has_departures = inner.apply_departures(&request.departures.updates);
-        let previous = inner.entries.get(&request.info.vm);
-        let is_outdated =
-            previous.is_some_and(|record| record.info.incarnation > request.info.incarnation);
-        if is_outdated {
-            return;
-        }
-        let is_listed_anew = previous.is_none_or(|record| record.info != request.info);
-        let record = EntryRecord {
-            info: request.info.clone(),
-            last_sync: now,
-            loads: request.loads.clone(),
-            tallies: request.tallies.clone(),
-        };
-        let (vm, incarnation) = (&request.info.vm, request.info.incarnation);
-        inner
-            .cached_prefixes
-            .receive(vm, incarnation, &request.cached_prefixes);
-        inner.entries.insert(request.info.vm.clone(), record);
-        if !request.suspects.is_empty() {
-            inner.crashes.merge(&request.suspects, now);
-        }
-        if is_listed_anew {
-            inner.entries_version += 1;
-        }
-        drop(inner);
-        if is_listed_anew || has_departures {
-            self.updated.notify(usize::MAX);
-        }
-    }
-
-    fn has_updates(&self, request: &SyncRequest) -> bool {
-        let inner = self.inner();
-        let versions = &request.versions;
-        let cursor = Cursor {
-            incarnation: self.incarnation,
-            number: inner.last_number,
-        };
-        inner.applied.plan_version > versions.plan
-            || inner.applied.rollouts.changes() > versions.rollouts
-            || cursor != versions.endpoints
-            || inner.entries_version != versions.entries
-    }
-
-    fn reply(&self, request: &SyncRequest, now: Millis) -> SyncReply {
-        let inner = self.inner();
-        let versions = &request.versions;
-        let applied = &inner.applied;
-        let is_current = applied.has_leader_lease(now);
-        let is_same_incarnation = versions.endpoints.incarnation == self.incarnation;
-        // Another incarnation's numbers do not apply to this one, which then sends all updates.
-        let (last_seen, prefixes_received) = if is_same_incarnation {
-            (versions.endpoints.number, versions.cached_prefixes)
-        } else {
-            (0, 0)
-        };
-        let plan = applied
-            .plan
-            .clone()
-            .filter(|_| applied.plan_version > versions.plan);
-        let rollouts = Arc::clone(&applied.rollouts);
-        let has_rollouts = rollouts.changes() > versions.rollouts;
-        let entries = (inner.entries_version != versions.entries).then(|| inner.entry_list());
-        let loads = is_current.then(|| inner.loads_excluding(&request.info.vm));
-        let reply = SyncReply {
-            is_current,
-            version: applied.plan_version,
-            plan: None,
-            endpoints: inner.updates_after(last_seen, self.incarnation, now),
-            entries_version: inner.entries_version,
-            entries,
-            rollouts: None,
-            wall: self.clock.wall(),
-            controls: applied.controls.clone(),
-            loads,
-            suspects: inner.crashes.suspects(),
-            cached_prefixes: is_current.then(|| {
-                inner
-                    .cached_prefixes
-                    .updates_for(&request.info.vm, prefixes_received)
-            }),
-        };
-        drop(inner);
-        // Large parts are copied after the lock is released.
-        SyncReply {
-            plan: plan.map(|plan| Plan::clone(&plan)),
-            rollouts: has_rollouts.then(|| RolloutTable::clone(&rollouts)),
-            ..reply
-        }
-    }
-
-    /// Removes entries that have not synced within [`ENTRY_TTL`].
-    pub(super) fn expire_entries(&self) {
-        let now = self.clock.now();
-        let mut inner = self.inner();
-        let before = inner.entries.len();
-        inner
-            .entries
-            .retain(|_, record| now.since(record.last_sync) < ENTRY_TTL);
-        if inner.entries.len() != before {
-            let Inner {
-                entries,
-                cached_prefixes,
-                ..
-            } = &mut *inner;
-            cached_prefixes.retain(|vm| entries.contains_key(vm));
-            inner.entries_version += 1;
-            drop(inner);
-            self.updated.notify(usize::MAX);
-        }
-    }
-
-    /// Returns the counts of good and bad responses of a service, by release and entry.
-    pub(super) fn tallies(&self, service: &ServiceId) -> BTreeMap<String, EntryTallies> {
-        let inner = self.inner();
-        let mut all: BTreeMap<String, EntryTallies> = BTreeMap::new();
-        for (vm, record) in &inner.entries {
-            for release_tally in record.tallies.iter().filter(|t| t.service == *service) {
-                let entry = (vm.clone(), record.info.incarnation);
-                let release = all.entry(release_tally.release.clone()).or_default();
-                release.insert(entry, release_tally.tally);
-            }
-        }
-        all
-    }
-}
-
-impl Inner {
-    fn entry_list(&self) -> Vec<EntryInfo> {
-        self.entries
-            .values()
-            .map(|record| record.info.clone())
-            .collect()
-    }
-
-    /// Returns the load at each endpoint, summed over all entries but the one on `vm`.
-    fn loads_excluding(&self, vm: &VmId) -> Vec<EndpointLoad> {
-        let others = self.entries.iter().filter(|(id, _)| *id != vm);
-        let mut sums: BTreeMap<&EndpointId, (u32, u32)> = BTreeMap::new();
-        for load in others.flat_map(|(_, record)| &record.loads) {
-            let (running, prefill_ms) = sums.entry(&load.id).or_default();
-            *running += load.running;
-            *prefill_ms = prefill_ms.saturating_add(load.prefill_ms);
+            heartbeats: self.last_heartbeat,
+            renewed: renewed.map(|(id, _)| id.clone()).collect(),
         }
-        let loads = sums
-            .into_iter()
-            .map(|(id, (running, prefill_ms))| EndpointLoad {
-                id: id.clone(),
-                running,
-                prefill_ms,
-            });
-        loads.collect()
     }
 }
--- /dev/null
+++ b/papayatrayd/src/gateway/control_state/sync.rs
@@ -0,0 +1,227 @@
+//! Sync of the entries with a control replica.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use papayatray_core::clock::Millis;
+use papayatray_core::gateway::plan::Plan;
+use papayatray_core::gateway::rollout::RolloutTable;
+use papayatray_core::id::ServiceId;
+use papayatray_wire::peer::Cursor;
+use papayatray_wire::peer::STANDBY_POLL_TIMEOUT;
+use papayatray_wire::peer::SyncReply;
+use papayatray_wire::peer::SyncRequest;
+use smol::Timer;
+use smol::future::FutureExt;
+
+use super::ControlState;
+use super::EntryTallies;
+use super::Inner;
+use crate::observe::Level;
+use crate::observe::event;
+
+/// Shortest time between two replies to one entry: changes that come together, as when many
+/// endpoints or entries start, are sent together.
+const MIN_POLL_TIME: Millis = Millis::new(50);
+/// Time without a sync after which the leader removes an entry from its list.
+const ENTRY_TTL: Millis = Millis::new(1_500);
+/// Time without a sync after which another replica does, with which entries sync less often.
+const STANDBY_ENTRY_TTL: Millis = Millis::new(3_500);
+/// Cached-prefix updates in one reply, so that a starting entry does not get all at once.
+const MAX_PREFIXES_PER_REPLY: usize = 256;
+/// Quarantined requests in one reply.
+const MAX_QUARANTINED_PER_REPLY: usize = 64;
+
+/// # Entries
+impl ControlState {
+    /// Returns what changed since the entry's last sync.
+    ///
+    /// This is a long poll: while nothing changes, the reply is delayed by the time-out that the
+    /// entry asks for.
+    pub async fn sync(&self, request: SyncRequest) -> SyncReply {
+        self.record_entry(&request);
+        let started_at = self.clock.now();
+        let poll_end = started_at + request.poll_timeout.min(STANDBY_POLL_TIMEOUT);
+        let is_first_contact = request.versions.endpoints.incarnation != self.incarnation;
+        let min_end = if is_first_contact {
+            started_at
+        } else {
+            started_at + MIN_POLL_TIME
+        };
+        loop {
+            let listener = self.updated.listen();
+            let now = self.clock.now();
+            let has_updates = self.has_updates(&request, now);
+            if now >= poll_end || (has_updates && now >= min_end) {
+                return self.reply(&request, now);
+            }
+            let next_check = if has_updates { min_end } else { poll_end };
+            let timeout = async {
+                Timer::after(next_check.since(now).to_duration()).await;
+            };
+            listener.or(timeout).await;
+        }
+    }
+
+    /// Stores an entry's sync request, unless a later incarnation of the entry has synced already.
+    fn record_entry(&self, request: &SyncRequest) {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        // Departures concern endpoints, so they count whichever incarnation of the entry reports.
+        let has_departures = inner.apply_departures(&request.departures.updates);
+        if inner.entries.record(&request.info, now) {
+            inner.apply_reports(request, now);
+        }
+        drop(inner);
+        if has_departures {
+            self.updated.notify(usize::MAX);
+        }
+    }
+
+    /// Returns whether the entry must hear of a change before its poll times out.
+    ///
+    /// Loads, heartbeats, cached prefixes and the list of entries can wait for the time-out.
+    fn has_updates(&self, request: &SyncRequest, now: Millis) -> bool {
+        let inner = self.inner();
+        let versions = &request.versions;
+        let cursor = Cursor {
+            incarnation: self.incarnation,
+            number: inner.last_number,
+        };
+        let known_plan = if request.wants_plan {
+            versions.plan
+        } else {
+            versions.plan.max(versions.named_plan)
+        };
+        inner.applied.plan_version > known_plan
+            || inner.applied.rollouts.changes() > versions.rollouts
+            || cursor != versions.endpoints
+            || inner.applied.has_leader_lease(now) != request.expects_leader
+    }
+
+    fn reply(&self, request: &SyncRequest, now: Millis) -> SyncReply {
+        let inner = self.inner();
+        let mut versions = request.versions;
+        let applied = &inner.applied;
+        let is_current = applied.has_leader_lease(now);
+        if versions.endpoints.incarnation != self.incarnation {
+            // Another incarnation's numbers do not apply to this one, which then sends all updates.
+            versions.endpoints.number = 0;
+            versions.entries = 0;
+            versions.cached_prefixes = 0;
+            versions.heartbeats = 0;
+            versions.loads = 0;
+            versions.quarantined = 0;
+        }
+        let plan = applied
+            .plan
+            .clone()
+            .filter(|_| request.wants_plan && applied.plan_version > versions.plan);
+        let rollouts = Arc::clone(&applied.rollouts);
+        let has_rollouts = rollouts.changes() > versions.rollouts;
+        let prefixes = || {
+            inner.cached_prefixes.updates_for(
+                &request.info.vm,
+                versions.cached_prefixes,
+                MAX_PREFIXES_PER_REPLY,
+            )
+        };
+        let reply = SyncReply {
+            is_current,
+            version: applied.plan_version,
+            plan: None,
+            endpoints: inner.updates_after(
+                versions.endpoints.number,
+                versions.heartbeats,
+                self.incarnation,
+            ),
+            data_centre: self.data_centre.clone(),
+            entries: inner.entries.updates_after(versions.entries),
+            rollouts: None,
+            wall: self.clock.wall(),
+            controls: applied.controls.clone(),
+            loads: is_current.then(|| inner.loads.updates_after(versions.loads)),
+            quarantined: inner
+                .quarantined
+                .batch_since(versions.quarantined, MAX_QUARANTINED_PER_REPLY),
+            cached_prefixes: is_current.then(prefixes),
+        };
+        drop(inner);
+        // Large parts are copied after the lock is released.
+        SyncReply {
+            plan: plan.map(|plan| Plan::clone(&plan)),
+            rollouts: has_rollouts.then(|| RolloutTable::clone(&rollouts)),
+            ..reply
+        }
+    }
+
+    /// Removes entries that have not synced for some time.
+    pub(in crate::gateway) fn expire_entries(&self) {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        let ttl = if inner.applied.has_leader_lease(now) {
+            ENTRY_TTL
+        } else {
+            STANDBY_ENTRY_TTL
+        };
+        let expired = inner.entries.expire(ttl, now);
+        for vm in &expired {
+            inner.loads.forget(vm);
+            inner.tallies.remove(vm);
+        }
+        if !expired.is_empty() {
+            let Inner {
+                entries,
+                cached_prefixes,
+                ..
+            } = &mut *inner;
+            cached_prefixes.retain(|vm| entries.get(vm).is_some());
+        }
+    }
+
+    /// Returns the counts of good and bad responses of a service, by release and entry.
+    pub(in crate::gateway) fn tallies(
+        &self,
+        service: &ServiceId,
+    ) -> BTreeMap<String, EntryTallies> {
+        let inner = self.inner();
+        let mut all: BTreeMap<String, EntryTallies> = BTreeMap::new();
+        for (vm, tallies) in &inner.tallies {
+            let Some(info) = inner.entries.get(vm) else {
+                continue;
+            };
+            for release_tally in tallies.iter().filter(|t| t.service == *service) {
+                let entry = (vm.clone(), info.incarnation);
+                let release = all.entry(release_tally.release.clone()).or_default();
+                release.insert(entry, release_tally.tally);
+            }
+        }
+        all
+    }
+}
+
+impl Inner {
+    /// Stores what an entry reports about endpoints and requests.
+    fn apply_reports(&mut self, request: &SyncRequest, now: Millis) {
+        let vm = &request.info.vm;
+        let incarnation = request.info.incarnation;
+        self.cached_prefixes
+            .receive(vm, incarnation, &request.cached_prefixes);
+        self.tallies.insert(vm.clone(), request.tallies.clone());
+        match &request.loads {
+            Some(loads) => self.loads.report(vm, loads),
+            None => self.loads.forget(vm),
+        }
+        if request.suspects.updates.is_empty() {
+            return;
+        }
+        for suspect in self.crashes.merge(&request.suspects.updates, now) {
+            event(
+                Level::Warn,
+                "request_quarantined",
+                &[("endpoints", &suspect.crashed.len())],
+            );
+            self.quarantined.push(suspect);
+        }
+    }
+}
--- a/papayatrayd/src/gateway/daemon.rs
+++ b/papayatrayd/src/gateway/daemon.rs
@@ -9,6 +9,7 @@
 use displaydoc::Display;
 use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
+use papayatray_core::clock::SteadyClock;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::VmId;
 use papayatray_wire::link::ClusterKey;
@@ -173,7 +174,7 @@
     // Handle to the same executor, for tasks that start others.
     let spawner = tasks.clone();
     tasks.run(async move {
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+        let clock: Arc<dyn Clock> = Arc::new(SteadyClock::new(SystemClock::default()));
         let key = ClusterKey::new(&identity.secret);
         let peers = Arc::new(Peers::new(spawner.clone(), key));
         // State of this entry.
@@ -313,11 +314,14 @@
     // Handle to the same executor, for tasks that start others.
     let spawner = tasks.clone();
     tasks.run(async move {
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+        let clock: Arc<dyn Clock> = Arc::new(SteadyClock::new(SystemClock::default()));
         let key = ClusterKey::new(&identity.secret);
         let peers = Arc::new(Peers::new(spawner.clone(), key.clone()));
         let listener = bind(role.peer_address).await?;
-        let state = Arc::new(ControlState::new(Arc::clone(&clock)));
+        let state = Arc::new(ControlState::new(
+            Arc::clone(&clock),
+            Some(identity.data_centre.clone()),
+        ));
         let control = start_replica(identity, &role, &peers, &clock, &state)?;
         let rpc_context = rpc::RpcContext {
             control: control.clone(),
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -6,6 +6,8 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::directory::Directory;
 use papayatray_core::directory::Endpoint;
+use papayatray_core::gateway::load_table::EndpointWork;
+use papayatray_core::gateway::load_table::WorkUpdates;
 use papayatray_core::gateway::pauses::Pauses;
 use papayatray_core::gateway::placement;
 use papayatray_core::gateway::placement::Backlog;
@@ -26,7 +28,6 @@
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::ServiceId;
 use papayatray_wire::peer::Deregistration;
-use papayatray_wire::peer::EndpointLoad;
 use papayatray_wire::peer::EndpointUpdates;
 
 /// Heartbeat intervals without a heartbeat after which an endpoint counts as silent.
@@ -95,8 +96,10 @@
     directory: Directory,
     /// Load that this entry's requests cause.
     local_load: BTreeMap<EndpointId, Backlog>,
-    /// Load that other entries' requests cause.
-    remote_load: BTreeMap<EndpointId, Backlog>,
+    /// Load that all entries' requests cause, as the leader announced it.
+    total_work: BTreeMap<EndpointId, EndpointWork>,
+    /// Load that this entry's requests cause, as the leader was told last.
+    reported_work: BTreeMap<EndpointId, EndpointWork>,
     /// Estimates of the prefill speed, by service and model.
     speed: PrefillSpeed,
     cached_prefixes: PrefixDirectory,
@@ -116,7 +119,8 @@
             heartbeat_interval,
             directory: Directory::default(),
             local_load: BTreeMap::new(),
-            remote_load: BTreeMap::new(),
+            total_work: BTreeMap::new(),
+            reported_work: BTreeMap::new(),
             speed: PrefillSpeed::default(),
             cached_prefixes: PrefixDirectory::default(),
             prefix_updates: UpdateLog::new(MAX_PREFIX_UPDATES),
@@ -190,7 +194,7 @@
 
     /// Returns the departures that this entry recorded after number `number`.
     pub(super) fn departures_since(&self, number: u64) -> UpdateBatch<Deregistration> {
-        self.departures.batch_since(number)
+        self.departures.batch_since(number, MAX_DEPARTURES)
     }
 
     /// Records that an endpoint wants no requests from this entry for a time.
@@ -218,16 +222,24 @@
         shortest
     }
 
-    /// Replaces the load that other entries' requests cause.
-    pub(super) fn set_remote_load(&mut self, loads: &[EndpointLoad]) {
-        let backlogs = loads.iter().map(|load| {
-            let backlog = Backlog {
-                running: load.running,
-                prefill_ms: f64::from(load.prefill_ms),
-            };
-            (load.id.clone(), backlog)
-        });
-        self.remote_load = backlogs.collect();
+    /// Applies changes of the load that all entries' requests cause.
+    pub(super) fn apply_loads(&mut self, updates: &WorkUpdates) {
+        if updates.is_complete {
+            self.total_work.clear();
+        }
+        self.total_work.extend(updates.changed.iter().cloned());
+    }
+
+    /// Returns the load that other entries' requests cause at an endpoint: the sum over all entries
+    /// without what this entry reported last.
+    fn remote_load(&self, id: &EndpointId) -> Backlog {
+        let total = self.total_work.get(id).copied().unwrap_or_default();
+        let reported = self.reported_work.get(id).copied().unwrap_or_default();
+        let work = total.minus(reported);
+        Backlog {
+            running: work.running,
+            prefill_ms: f64::from(work.prefill_ms),
+        }
     }
 
     /// Records the prefixes that other entries' requests cached at endpoints.
@@ -239,18 +251,24 @@
 
     /// Returns the prefixes that this entry's requests cached after update number `number`.
     pub(super) fn cached_prefixes_since(&self, number: u64) -> UpdateBatch<CachedPrefix> {
-        self.prefix_updates.batch_since(number)
+        self.prefix_updates.batch_since(number, MAX_PREFIX_UPDATES)
     }
 
-    /// Returns the load that this entry's requests cause.
-    pub(super) fn local_loads(&self) -> Vec<EndpointLoad> {
+    /// Returns the load that this entry's requests cause, and records it as reported.
+    pub(super) fn report_work(&mut self) -> Vec<(EndpointId, EndpointWork)> {
         let busy = self.local_load.iter().filter(|(_, load)| load.running > 0);
-        let loads = busy.map(|(id, load)| EndpointLoad {
-            id: id.clone(),
-            running: load.running,
-            prefill_ms: round_millis(load.prefill_ms),
+        let work = busy.map(|(id, load)| {
+            let work = EndpointWork {
+                running: load.running,
+                prefill_ms: round_millis(load.prefill_ms),
+            };
+            (id.clone(), work)
         });
-        loads.collect()
+        self.reported_work = work.collect();
+        self.reported_work
+            .iter()
+            .map(|(id, work)| (id.clone(), *work))
+            .collect()
     }
 
     /// Selects an endpoint, of a preferred release if one has capacity, else of a fallback one.
@@ -306,7 +324,7 @@
             id,
             slots: endpoint.slots,
             this_entry: self.local_load.get(id).copied().unwrap_or_default(),
-            other_entries: self.remote_load.get(id).copied().unwrap_or_default(),
+            other_entries: self.remote_load(id),
             is_near: endpoint.data_centre == *query.local_data_centre,
             condition: if now.since(last_heard).as_u64() > silence_limit {
                 Condition::Silent
@@ -409,7 +427,7 @@
         if let Some(load) = self.local_load.get_mut(id) {
             load.running = load.running.saturating_sub(1);
             if load.running == 0 {
-                load.prefill_ms = 0.0;
+                self.local_load.remove(id);
             }
         }
     }
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! State of an entry that its tasks share: plan, endpoints, roll-outs, evidence and counters.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -16,18 +17,19 @@
 use papayatray_core::gateway::arrivals::ArrivalBudget;
 use papayatray_core::gateway::crashes::CrashTable;
 use papayatray_core::gateway::crashes::Suspect;
+use papayatray_core::gateway::entry_register::EntryList;
 use papayatray_core::gateway::freshness;
 use papayatray_core::gateway::freshness::PlanFreshness;
 use papayatray_core::gateway::rollout::ReleaseEligibility;
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::gateway::table::RouteTable;
 use papayatray_core::gateway::updates::UpdateBatch;
+use papayatray_core::gateway::updates::UpdateLog;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::Fingerprint;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
-use papayatray_core::lease::EntryInfo;
 use papayatray_core::regression::Tally;
 use papayatray_core::suspicion::EndpointIncarnation;
 use papayatray_wire::peer::Deregistration;
@@ -55,6 +57,12 @@
 use crate::observe::event;
 use crate::tasks::Tasks;
 
+/// Crash reports retained until the control replicas have received them: the requests of one entry
+/// that are in flight at the endpoints of a large deployment.
+const MAX_CRASH_REPORTS: usize = 1_024;
+/// Crash reports in one sync request.
+const MAX_REPORTS_PER_SYNC: usize = 64;
+
 /// Limits and intervals that hold for a whole deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -86,10 +94,11 @@
 }
 
 /// List of entries received from one control replica.
-#[derive(Debug)]
-struct EntryList {
-    entries: Vec<EntryInfo>,
-    version: u64,
+#[derive(Debug, Default)]
+struct ReceivedEntries {
+    list: EntryList,
+    /// Whether the replica was the leader when it confirmed the list.
+    is_from_leader: bool,
     updated_at: Millis,
 }
 
@@ -136,7 +145,7 @@
     /// Difference between the leader's wall clock and this process's monotonic clock.
     wall_offset: Mutex<Millis>,
     /// List of entries from each control replica, by its address.
-    entry_lists: Mutex<BTreeMap<String, EntryList>>,
+    entry_lists: Mutex<BTreeMap<String, ReceivedEntries>>,
     /// Retry budget of each service.
     budget: Mutex<ArrivalBudget>,
     /// Good and bad responses since the process started, by service and release.
@@ -145,6 +154,8 @@
     latencies: Mutex<BTreeMap<(String, usize), f64>>,
     /// Requests suspected of crashing endpoints.
     crashes: Mutex<CrashTable>,
+    /// Crashes that this entry has seen, for the control replicas.
+    crash_reports: Mutex<UpdateLog<Suspect>>,
     shutdown_stage: AtomicU8,
     in_flight: AtomicUsize,
 }
@@ -183,6 +194,7 @@
             tallies: Mutex::default(),
             latencies: Mutex::default(),
             crashes: Mutex::default(),
+            crash_reports: Mutex::new(UpdateLog::new(MAX_CRASH_REPORTS)),
             shutdown_stage: AtomicU8::new(ShutdownStage::Serving as u8),
             in_flight: AtomicUsize::new(0),
             clock,
@@ -213,21 +225,18 @@
             event(Level::Info, "endpoint_out", &[("endpoint", &id)]);
             self.connections.close_idle(&id);
         }
-        match reply.entries {
-            Some(entries) => self.set_entries(control, entries, reply.entries_version),
-            None => self.refresh_entries(control),
-        }
+        self.apply_entries(control, reply.entries, reply.is_current);
         if let Some(rollouts) = reply.rollouts {
             self.set_rollouts(rollouts);
         }
         if reply.is_current {
             self.set_leader_wall(reply.wall);
         }
-        if !reply.suspects.is_empty() {
-            self.crashes().merge(&reply.suspects, now);
+        if !reply.quarantined.updates.is_empty() {
+            self.crashes().merge(&reply.quarantined.updates, now);
         }
         if let Some(loads) = &reply.loads {
-            self.fleet().set_remote_load(loads);
+            self.fleet().apply_loads(loads);
         }
         if let Some(prefixes) = &reply.cached_prefixes {
             self.fleet().apply_cached_prefixes(&prefixes.updates, now);
@@ -406,6 +415,11 @@
         self.crashes().suspects()
     }
 
+    /// Returns some of the crashes that this entry has seen, from report number `number` on.
+    pub fn crash_reports_since(&self, number: u64) -> UpdateBatch<Suspect> {
+        lock(&self.crash_reports).batch_since(number, MAX_REPORTS_PER_SYNC)
+    }
+
     /// Returns the endpoints that stated to this entry that they are leaving, from update number
     /// `number` on.
     pub fn departures_since(&self, number: u64) -> UpdateBatch<Deregistration> {
@@ -435,8 +449,13 @@
                 incarnation: endpoint.incarnation,
             };
             let now = gateway.clock.now();
+            // The control replicas learn of it with the next sync: woken by each request that was
+            // lost in a crash, all entries would sync with all replicas at once.
+            lock(&gateway.crash_reports).push(Suspect {
+                fingerprint,
+                crashed: BTreeSet::from([crashed.clone()]),
+            });
             gateway.crashes().record_crash(fingerprint, crashed, now);
-            gateway.sync_needed.notify(usize::MAX);
         });
     }
 
--- a/papayatrayd/src/gateway/state/entries.rs
+++ b/papayatrayd/src/gateway/state/entries.rs
@@ -5,11 +5,12 @@
 use std::sync::atomic::Ordering;
 
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::entry_register::EntryUpdates;
 use papayatray_core::id::VmId;
 use papayatray_core::lease::EntryInfo;
 
-use super::EntryList;
 use super::Gateway;
+use super::ReceivedEntries;
 use super::ShutdownStage;
 use super::lock;
 
@@ -32,43 +33,42 @@
         }
     }
 
-    pub(super) fn set_entries(&self, control: &str, entries: Vec<EntryInfo>, version: u64) {
-        let updated_at = self.clock.now();
-        let list = EntryList {
-            entries,
-            version,
-            updated_at,
-        };
-        lock(&self.entry_lists).insert(control.to_owned(), list);
+    /// Applies changes of a control replica's list of entries.
+    pub(super) fn apply_entries(&self, control: &str, updates: EntryUpdates, is_leader: bool) {
+        {
+            let mut entry_lists = lock(&self.entry_lists);
+            let received = entry_lists.entry(control.to_owned()).or_default();
+            received.list.apply(updates);
+            received.is_from_leader = is_leader;
+            received.updated_at = self.clock.now();
+        }
         let count = self.entry_count();
         self.budget().set_entries(count);
     }
 
-    /// Records that the list of a control replica is unchanged.
-    pub(super) fn refresh_entries(&self, control: &str) {
-        if let Some(list) = lock(&self.entry_lists).get_mut(control) {
-            list.updated_at = self.clock.now();
-        }
-    }
-
-    pub(in crate::gateway) fn entries_version(&self, control: &str) -> u64 {
+    /// Returns the number of the last change received of a control replica's list of entries.
+    pub(in crate::gateway) fn entries_number(&self, control: &str) -> u64 {
         lock(&self.entry_lists)
             .get(control)
-            .map_or(0, |list| list.version)
+            .map_or(0, |received| received.list.number())
     }
 
     /// Returns the entries that callers may use, by VM.
     ///
-    /// While no control replica can be reached, the last lists are used although they are outdated.
+    /// The leader's list is used, as all entries that can prove their plan sync with it most often;
+    /// without one, the lists of the other replicas. While no control replica can be reached, the
+    /// last lists are used although they are outdated.
     pub fn entries(&self) -> BTreeMap<VmId, EntryInfo> {
         let now = self.clock.now();
         let entry_lists = lock(&self.entry_lists);
-        let is_fresh = |list: &&EntryList| now.since(list.updated_at) < ENTRY_LIST_TTL;
-        let has_fresh_list = entry_lists.values().any(|list| is_fresh(&list));
-        let lists = entry_lists
-            .values()
-            .filter(|list| !has_fresh_list || is_fresh(list));
-        let all = lists.flat_map(|list| &list.entries);
+        let is_fresh = |received: &ReceivedEntries| now.since(received.updated_at) < ENTRY_LIST_TTL;
+        let is_leading = |received: &ReceivedEntries| is_fresh(received) && received.is_from_leader;
+        let has_fresh = entry_lists.values().any(is_fresh);
+        let has_leading = entry_lists.values().any(is_leading);
+        let used = entry_lists.values().filter(|received| {
+            is_leading(received) || (!has_leading && (!has_fresh || is_fresh(received)))
+        });
+        let all = used.flat_map(|received| received.list.entries());
         let mut entries: BTreeMap<VmId, EntryInfo> = BTreeMap::new();
         for info in all.filter(|info| info.vm != self.vm) {
             let listed = entries.get(&info.vm);
@@ -91,7 +91,7 @@
     /// shutting down, and outdated lists.
     pub(super) fn entry_count(&self) -> usize {
         let entry_lists = lock(&self.entry_lists);
-        let counts = entry_lists.values().map(|list| list.entries.len());
+        let counts = entry_lists.values().map(|received| received.list.len());
         counts.max().unwrap_or(1).max(1)
     }
 }
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -1,16 +1,22 @@
 //! Long-poll client through which an entry exchanges updates with the control replicas.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::replicas::ReplicaRole;
+use papayatray_core::gateway::replicas::ReplicaTable;
+use papayatray_core::gateway::replicas::ReplicaView;
+use papayatray_core::gateway::updates::UpdateBatch;
+use papayatray_core::id::PlanVersion;
 use papayatray_wire::peer::CallError;
 use papayatray_wire::peer::Cursor;
 use papayatray_wire::peer::GatewayVersions;
 use papayatray_wire::peer::Method;
+use papayatray_wire::peer::STANDBY_POLL_TIMEOUT;
+use papayatray_wire::peer::SYNC_POLL_TIMEOUT;
 use papayatray_wire::peer::SyncReply;
 use papayatray_wire::peer::SyncRequest;
 use smol::Timer;
@@ -21,8 +27,8 @@
 use crate::observe::event;
 use crate::peer::Peers;
 
-/// Time-out of a sync request, including the delay of the long poll.
-const SYNC_TIMEOUT: Millis = Millis::new(1_200);
+/// Time-out of a sync request, beyond the delay of its long poll.
+const SYNC_TIMEOUT: Millis = Millis::new(1_000);
 /// Back-off after the first failed call; doubles with each further failure.
 const MIN_BACKOFF: Millis = Millis::new(100);
 /// Longest back-off after a failed call.
@@ -34,20 +40,30 @@
 pub(super) struct SyncClient {
     gateway: Arc<Gateway>,
     peers: Arc<Peers>,
-    /// Addresses of the control replicas that the entry syncs with.
-    replicas: Mutex<BTreeSet<String>>,
+    /// Control replicas that the entry syncs with, by address.
+    replicas: Mutex<ReplicaTable>,
 }
 
 /// Progress of the sync with one control replica.
 #[derive(Debug, Default)]
 struct ReplicaSync {
     cursor: Cursor,
+    /// Newest plan that the replica has named.
+    named_plan: PlanVersion,
     /// Number of the last cached-prefix update received from the replica.
     prefixes_received: u64,
+    /// Number of the last heartbeat received.
+    heartbeats_received: u64,
+    /// Number of the last change of loads received since the replica became the leader.
+    loads_received: u64,
+    /// Number of the last quarantined request received.
+    quarantined_received: u64,
     /// Number of the last cached-prefix update that the replica has acknowledged.
     prefixes_acknowledged: u64,
     /// Number of the last departure that the replica has acknowledged.
     departures_acknowledged: u64,
+    /// Number of the last crash report that the replica has acknowledged.
+    crashes_acknowledged: u64,
     is_reachable: bool,
     backoff: Millis,
 }
@@ -64,7 +80,7 @@
     /// Starts syncing with the control replicas at these addresses, if not started yet.
     pub(super) fn add_replicas(self: &Arc<Self>, controls: &[String]) {
         for address in controls {
-            if self.replicas().insert(address.clone()) {
+            if self.replicas().add(address) {
                 event(Level::Info, "control_known", &[("address", address)]);
                 let syncing = Arc::clone(self).sync_with(address.clone());
                 self.gateway.tasks.spawn(syncing);
@@ -72,7 +88,7 @@
         }
     }
 
-    fn replicas(&self) -> MutexGuard<'_, BTreeSet<String>> {
+    fn replicas(&self) -> MutexGuard<'_, ReplicaTable> {
         self.replicas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -83,12 +99,13 @@
         };
         loop {
             let sent_at = self.gateway.clock.now();
-            let request = self.sync_request(&address, &sync);
+            let request = self.sync_request(&address, &sync, sent_at);
+            let timeout = request.poll_timeout + SYNC_TIMEOUT;
             let sync_needed = self.gateway.sync_needed.listen();
             let call = async {
                 let reply =
                     self.peers
-                        .call::<_, SyncReply>(&address, Method::Sync, &request, SYNC_TIMEOUT);
+                        .call::<_, SyncReply>(&address, Method::Sync, &request, timeout);
                 Some(reply.await)
             };
             // A change at this entry abandons the long poll: the next request reports it at once.
@@ -100,10 +117,12 @@
                 Some(Ok(reply)) => {
                     sync.prefixes_acknowledged = request.cached_prefixes.last_number;
                     sync.departures_acknowledged = request.departures.last_number;
+                    sync.crashes_acknowledged = request.suspects.last_number;
                     self.apply_reply(&address, &mut sync, reply, sent_at);
                     sync.record_success(&address);
                 }
                 Some(Err(error)) => {
+                    self.replicas().record_failure(&address);
                     sync.record_failure(&address, &error);
                     Timer::after(sync.backoff.to_duration()).await;
                     sync.backoff = Millis::new(sync.backoff.as_u64() * 2).min(MAX_BACKOFF);
@@ -113,30 +132,59 @@
         }
     }
 
-    fn sync_request(&self, address: &str, sync: &ReplicaSync) -> SyncRequest {
+    fn sync_request(&self, address: &str, sync: &ReplicaSync, now: Millis) -> SyncRequest {
         let gateway = &self.gateway;
+        let plan = gateway
+            .route_table()
+            .map_or_else(Default::default, |table| table.version());
+        let (role, wants_plan) = {
+            let replicas = self.replicas();
+            (
+                replicas.role(address),
+                replicas.is_plan_source(address, plan, now),
+            )
+        };
+        // Loads and prefixes are exchanged through the leader alone.
+        let is_standby = role == ReplicaRole::Standby;
         let (loads, departures, cached_prefixes) = {
-            let fleet = gateway.fleet();
+            let mut fleet = gateway.fleet();
+            let cached_prefixes = if is_standby {
+                UpdateBatch {
+                    last_number: sync.prefixes_acknowledged,
+                    updates: Vec::new(),
+                }
+            } else {
+                fleet.cached_prefixes_since(sync.prefixes_acknowledged)
+            };
             (
-                fleet.local_loads(),
+                (!is_standby).then(|| fleet.report_work()),
                 fleet.departures_since(sync.departures_acknowledged),
-                fleet.cached_prefixes_since(sync.prefixes_acknowledged),
+                cached_prefixes,
             )
         };
         SyncRequest {
             info: gateway.info(),
             versions: GatewayVersions {
-                plan: gateway
-                    .route_table()
-                    .map_or_else(Default::default, |table| table.version()),
+                plan,
+                named_plan: sync.named_plan,
                 endpoints: sync.cursor,
-                entries: gateway.entries_version(address),
+                entries: gateway.entries_number(address),
                 rollouts: gateway.rollouts().changes(),
                 cached_prefixes: sync.prefixes_received,
+                heartbeats: sync.heartbeats_received,
+                loads: sync.loads_received,
+                quarantined: sync.quarantined_received,
+            },
+            poll_timeout: if is_standby {
+                STANDBY_POLL_TIMEOUT
+            } else {
+                SYNC_POLL_TIMEOUT
             },
+            expects_leader: role == ReplicaRole::Leader,
+            wants_plan,
             tallies: gateway.tallies(),
             loads,
-            suspects: gateway.suspects(),
+            suspects: gateway.crash_reports_since(sync.crashes_acknowledged),
             departures,
             cached_prefixes,
         }
@@ -149,15 +197,17 @@
         reply: SyncReply,
         sent_at: Millis,
     ) {
-        if sync.cursor.incarnation != reply.endpoints.cursor.incarnation {
-            sync.prefixes_received = 0;
-            // A replica that restarted has lost the departures that it acknowledged before.
-            sync.departures_acknowledged = 0;
-        }
-        sync.cursor = reply.endpoints.cursor;
-        if let Some(prefixes) = &reply.cached_prefixes {
-            sync.prefixes_received = prefixes.last_number;
-        }
+        sync.record_reply(&reply);
+        let now = self.gateway.clock.now();
+        self.replicas().record_reply(
+            address,
+            &ReplicaView {
+                is_leader: reply.is_current,
+                is_near: reply.data_centre.as_ref() == Some(&self.gateway.data_centre),
+                plan: reply.version,
+            },
+            now,
+        );
         let controls = reply.controls.clone();
         self.gateway.apply_sync(address, reply, sent_at);
         self.add_replicas(&controls);
@@ -165,6 +215,25 @@
 }
 
 impl ReplicaSync {
+    /// Records the numbers of the updates in a reply.
+    fn record_reply(&mut self, reply: &SyncReply) {
+        if self.cursor.incarnation != reply.endpoints.cursor.incarnation {
+            self.prefixes_received = 0;
+            // A replica that restarted has lost what it acknowledged before.
+            self.departures_acknowledged = 0;
+            self.crashes_acknowledged = 0;
+        }
+        self.cursor = reply.endpoints.cursor;
+        self.named_plan = reply.version;
+        self.heartbeats_received = reply.endpoints.heartbeats;
+        self.quarantined_received = reply.quarantined.last_number;
+        // Another leader numbers the loads anew, so the first reply of a leader has all of them.
+        self.loads_received = reply.loads.as_ref().map_or(0, |loads| loads.number);
+        if let Some(prefixes) = &reply.cached_prefixes {
+            self.prefixes_received = prefixes.last_number;
+        }
+    }
+
     fn record_success(&mut self, address: &str) {
         self.backoff = MIN_BACKOFF;
         if !self.is_reachable {
--- a/papayatrayd/tests/gateway/leaving.rs
+++ b/papayatrayd/tests/gateway/leaving.rs
@@ -1,17 +1,9 @@
 //! Endpoints that state in a response that they are leaving get no further request.
 
-use std::sync::Arc;
-
 use papayatray_core::gateway::updates::UpdateBatch;
-use papayatray_core::id::DataCentre;
 use papayatray_core::id::Incarnation;
-use papayatray_core::id::VmId;
-use papayatray_core::lease::EntryInfo;
 use papayatray_wire::peer::Deregistration;
-use papayatray_wire::peer::GatewayVersions;
 use papayatray_wire::peer::SyncRequest;
-use papayatrayd::gateway::ControlState;
-use papayatrayd::observe::SystemClock;
 
 use crate::endpoint::FakeEndpoint;
 use crate::endpoint::ReceivedRequest;
@@ -24,6 +16,8 @@
 use crate::rig::Rig;
 use crate::rig::announcement;
 use crate::rig::plan;
+use crate::sync::first_request;
+use crate::sync::replica;
 
 /// Header by which an endpoint states that it is leaving.
 const LEAVING: &str = "Papayatray-Leaving: 1\r\n";
@@ -37,20 +31,8 @@
 
 fn sync_request(vm: &str, departures: UpdateBatch<Deregistration>) -> SyncRequest {
     SyncRequest {
-        info: EntryInfo {
-            vm: VmId::new(vm).unwrap(),
-            incarnation: Incarnation(1),
-            data_centre: DataCentre::new("here").unwrap(),
-            caller_address: "127.0.0.1:1".to_owned(),
-            peer_address: String::new(),
-            draining: false,
-        },
-        versions: GatewayVersions::default(),
-        tallies: Vec::new(),
-        loads: Vec::new(),
-        suspects: Vec::new(),
         departures,
-        cached_prefixes: UpdateBatch::default(),
+        ..first_request(vm)
     }
 }
 
@@ -146,7 +128,7 @@
     let leaving = leaving_endpoint(|request| response(request, "200 OK", "last"));
     let first = Rig::start(&[&leaving]);
     assert_eq!(first.request("/safe/x", "").status, 200);
-    let replica = ControlState::new(Arc::new(SystemClock::default()));
+    let replica = replica();
     assert!(replica.announce(&announcement(0, &leaving)));
     smol::block_on(replica.sync(sync_request("vm-1", first.gateway.departures_since(0))));
     let second = Rig::start(&[&leaving]);
--- a/papayatrayd/tests/gateway/main.rs
+++ b/papayatrayd/tests/gateway/main.rs
@@ -11,5 +11,6 @@
 mod rig;
 mod settings;
 mod streams;
+mod sync;
 mod traces;
 mod updates;
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -23,6 +23,7 @@
 use papayatray_core::gateway::plan::RouteKind;
 use papayatray_core::gateway::plan::Service;
 use papayatray_core::gateway::plan::Target;
+use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Incarnation;
@@ -225,7 +226,10 @@
     /// Applies an update with the requests that other entries suspect of crashing endpoints.
     pub fn apply_suspects(&self, suspects: Vec<Suspect>) {
         let reply = SyncReply {
-            suspects,
+            quarantined: UpdateBatch {
+                last_number: suspects.len() as u64,
+                updates: suspects,
+            },
             ..SyncReply::default()
         };
         let now = self.gateway.clock.now();
--- /dev/null
+++ b/papayatrayd/tests/gateway/sync.rs
@@ -0,0 +1,184 @@
+//! Sync of entries with a control replica: what each is told, and how often.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use papayatray_core::clock::Millis;
+use papayatray_core::gateway::crashes::Suspect;
+use papayatray_core::gateway::updates::UpdateBatch;
+use papayatray_core::id::DataCentre;
+use papayatray_core::id::EndpointId;
+use papayatray_core::id::Fingerprint;
+use papayatray_core::id::Incarnation;
+use papayatray_core::id::VmId;
+use papayatray_core::lease::EntryInfo;
+use papayatray_core::suspicion::EndpointIncarnation;
+use papayatray_wire::peer::Deregistration;
+use papayatray_wire::peer::GatewayVersions;
+use papayatray_wire::peer::SyncReply;
+use papayatray_wire::peer::SyncRequest;
+use papayatrayd::gateway::ControlState;
+use papayatrayd::observe::SystemClock;
+
+use crate::endpoint::FakeEndpoint;
+use crate::rig::announcement;
+
+/// Entries of the largest deployment that these tests play.
+const ENTRIES: usize = 195;
+
+/// Returns a control replica that knows nothing and does not lead.
+pub fn replica() -> ControlState {
+    ControlState::new(Arc::new(SystemClock::default()), None)
+}
+
+/// Returns the first sync request of an entry, to which the reply comes at once.
+pub fn first_request(vm: &str) -> SyncRequest {
+    SyncRequest {
+        info: EntryInfo {
+            vm: VmId::new(vm).unwrap(),
+            incarnation: Incarnation(1),
+            data_centre: DataCentre::new("here").unwrap(),
+            caller_address: "127.0.0.1:1".to_owned(),
+            peer_address: String::new(),
+            draining: false,
+        },
+        versions: GatewayVersions::default(),
+        poll_timeout: Millis::ZERO,
+        expects_leader: false,
+        wants_plan: true,
+        tallies: Vec::new(),
+        loads: None,
+        suspects: UpdateBatch::default(),
+        departures: UpdateBatch::<Deregistration>::default(),
+        cached_prefixes: UpdateBatch::default(),
+    }
+}
+
+/// Returns the request that follows a reply.
+fn next_request(vm: &str, reply: &SyncReply) -> SyncRequest {
+    SyncRequest {
+        versions: GatewayVersions {
+            endpoints: reply.endpoints.cursor,
+            entries: reply.entries.number,
+            heartbeats: reply.endpoints.heartbeats,
+            quarantined: reply.quarantined.last_number,
+            ..GatewayVersions::default()
+        },
+        ..first_request(vm)
+    }
+}
+
+fn sync(replica: &ControlState, request: SyncRequest) -> SyncReply {
+    smol::block_on(replica.sync(request))
+}
+
+fn suspect(fingerprint: u128, endpoint: usize) -> Suspect {
+    Suspect {
+        fingerprint: Fingerprint(fingerprint),
+        crashed: BTreeSet::from([EndpointIncarnation {
+            endpoint: EndpointId::new(format!("e-{endpoint}")).unwrap(),
+            incarnation: Incarnation(1),
+        }]),
+    }
+}
+
+fn reporting(vm: &str, suspects: Vec<Suspect>) -> SyncRequest {
+    SyncRequest {
+        suspects: UpdateBatch {
+            last_number: suspects.len() as u64,
+            updates: suspects,
+        },
+        ..first_request(vm)
+    }
+}
+
+/// Half of 80 endpoints crash at once with 30 requests each, while a poison request is tried at
+/// three entries. Each entry must hear of the poison request once, and of no other.
+#[test]
+fn entries_hear_of_quarantined_requests_only_and_once_each() {
+    let replica = replica();
+    for endpoint in 0..40 {
+        let in_flight = (0..30).map(|n| suspect(1_000 + endpoint as u128 * 100 + n, endpoint));
+        sync(
+            &replica,
+            reporting(&format!("vm-{endpoint}"), in_flight.collect()),
+        );
+    }
+    for crash in 0..3 {
+        let request = reporting(&format!("vm-{crash}"), vec![suspect(7, 50 + crash)]);
+        sync(&replica, request);
+    }
+    for number in 0..ENTRIES {
+        let vm = format!("vm-{number}");
+        let first = sync(&replica, first_request(&vm));
+        let fingerprints: Vec<_> = first
+            .quarantined
+            .updates
+            .iter()
+            .map(|s| s.fingerprint)
+            .collect();
+        assert_eq!(fingerprints, [Fingerprint(7)]);
+        let second = sync(&replica, next_request(&vm, &first));
+        assert!(second.quarantined.updates.is_empty());
+    }
+}
+
+#[test]
+fn each_heartbeat_is_passed_on_once() {
+    let replica = replica();
+    let fake = FakeEndpoint::start(|_, _| Vec::new());
+    replica.announce(&announcement(0, &fake));
+    let first = sync(&replica, first_request("vm-1"));
+    assert_eq!(first.endpoints.renewed.len(), 1);
+    let second = sync(&replica, next_request("vm-1", &first));
+    assert!(second.endpoints.renewed.is_empty());
+    assert!(second.endpoints.changed.is_empty());
+    let mut heartbeat = announcement(0, &fake);
+    heartbeat.sequence = 2;
+    assert!(!replica.announce(&heartbeat));
+    let third = sync(&replica, next_request("vm-1", &second));
+    assert_eq!(third.endpoints.renewed.len(), 1);
+    assert!(third.endpoints.changed.is_empty());
+}
+
+/// 195 entries start at once: what they are told in all grows with the square of their number, not
+/// with its cube.
+#[test]
+fn starting_entries_are_told_of_each_other_once() {
+    let replica = replica();
+    let mut replies: Vec<Option<SyncReply>> = vec![None; ENTRIES];
+    let mut told = 0;
+    for _ in 0..3 {
+        for (number, last) in replies.iter_mut().enumerate() {
+            let vm = format!("vm-{number}");
+            let request = match &last {
+                None => first_request(&vm),
+                Some(reply) => next_request(&vm, reply),
+            };
+            let reply = sync(&replica, request);
+            told += reply.entries.changed.len();
+            *last = Some(reply);
+        }
+    }
+    assert_eq!(told, ENTRIES * ENTRIES);
+}
+
+#[test]
+fn replica_replies_at_once_to_an_entry_that_takes_it_for_the_leader() {
+    let replica = replica();
+    let first = sync(&replica, first_request("vm-1"));
+    assert!(!first.is_current);
+    let mistaken = SyncRequest {
+        expects_leader: true,
+        poll_timeout: Millis::from_secs(1),
+        ..next_request("vm-1", &first)
+    };
+    let reply = smol::block_on(smol::future::or(
+        async { Some(replica.sync(mistaken).await) },
+        async {
+            smol::Timer::after(std::time::Duration::from_millis(900)).await;
+            None
+        },
+    ));
+    assert!(reply.is_some());
+}
