--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -165,6 +165,8 @@
     rejections: u32,
     /// Attempts that may have reached an endpoint; the retry budget bounds all after the first.
     arrivals: u32,
+    /// Whether the next attempt has been paid for from the retry budget.
+    is_prepaid: bool,
 }
 
 impl Attempts {
@@ -180,6 +182,7 @@
             possible_runs: 0,
             rejections: 0,
             arrivals: 0,
+            is_prepaid: false,
         }
     }
 
@@ -199,6 +202,18 @@
         self.request.route.kind.is_repeatable() && self.attempts_left() > 0
     }
 
+    /// Switches to another model if the retry budget allows one more attempt for it.
+    pub(super) fn switch_model(&mut self, size_index: usize) -> bool {
+        let now = self.gateway.clock.now();
+        let service = &self.request.service;
+        let is_allowed = self.gateway.budget().spend_on_larger_model(service, now);
+        if is_allowed {
+            self.size_index = size_index;
+            self.is_prepaid = true;
+        }
+        is_allowed
+    }
+
     /// Records the time to the whole response, or to a stream's first event.
     pub(super) fn record_response_time(&self) {
         let latency = self.gateway.clock.now().since(self.request.received_at);
@@ -321,7 +336,8 @@
             return Err(self.no_endpoint_refusal());
         };
         let now = self.gateway.clock.now();
-        if self.arrivals > 0 && !self.gateway.budget().spend(service, now) {
+        let is_free = self.arrivals == 0 || std::mem::take(&mut self.is_prepaid);
+        if !is_free && !self.gateway.budget().spend(service, now) {
             return Err(self.final_refusal(
                 "the retry budget of the service is exhausted",
                 BUSY_RETRY_AFTER,
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -134,9 +134,10 @@
                 "the response does not prove that the endpoint ran the request",
             ));
         }
-        if let Some(size_index) = escalation_size(&attempts, &started) {
-            log_escalation(&attempts, &started, size_index);
-            attempts.size_index = size_index;
+        if let Some(size_index) = escalation_size(&attempts, &started)
+            && attempts.switch_model(size_index)
+        {
+            log_escalation(&attempts, &started);
             continue;
         }
         let mut stream = EndpointStream::new(started);
@@ -395,7 +396,7 @@
     }
 }
 
-fn log_escalation(attempts: &Attempts, started: &StartedResponse, size_index: usize) {
+fn log_escalation(attempts: &Attempts, started: &StartedResponse) {
     attempts.gateway.metrics.count_event("model_escalated");
     request_event(
         &attempts.request.metadata.id,
@@ -403,8 +404,7 @@
         "model_escalated",
         &[
             ("endpoint", &started.attempt.endpoint.id),
-            ("from", &attempts.size_index),
-            ("to", &size_index),
+            ("to", &attempts.size_index),
             ("confidence", &started.metadata.confidence.unwrap_or(0)),
         ],
     );
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -161,17 +161,23 @@
 
     /// Starts an entry that has received no update, with this clock.
     pub fn with_clock(clock: Arc<dyn Clock>) -> Self {
+        let arrivals = ArrivalBound {
+            ratio: 1.0,
+            slack: 100.0,
+            window: Millis::from_secs(10),
+        };
+        Self::with_arrivals(clock, arrivals)
+    }
+
+    /// Starts an entry that has received no update, with this clock and retry budget.
+    pub fn with_arrivals(clock: Arc<dyn Clock>, arrivals: ArrivalBound) -> Self {
         let tasks = Tasks::new(2).unwrap();
         let listener = smol::block_on(smol::net::TcpListener::bind("127.0.0.1:0")).unwrap();
         let address = listener.local_addr().unwrap();
         let bounds = Bounds {
             revocation: Millis::from_secs(5),
             heartbeat: Millis::from_secs(1),
-            arrivals: ArrivalBound {
-                ratio: 1.0,
-                slack: 100.0,
-                window: Millis::from_secs(10),
-            },
+            arrivals,
             exposure: 0.1,
             grace: Millis::from_secs(2),
             hold: Millis::from_secs(1),
--- a/papayatrayd/tests/gateway/streams.rs
+++ b/papayatrayd/tests/gateway/streams.rs
@@ -1,10 +1,15 @@
 //! Streamed responses: forwarding of events, resumption at another endpoint, and disconnects.
 
 use std::io::Read;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use papayatray_core::clock::Millis;
+use papayatray_core::gateway::arrivals::ArrivalBound;
+use papayatrayd::observe::SystemClock;
+
 use crate::endpoint::FakeEndpoint;
 use crate::endpoint::ReceivedRequest;
 use crate::endpoint::Step;
@@ -14,6 +19,7 @@
 use crate::endpoint::stream_head;
 use crate::rig::ReceivedResponse;
 use crate::rig::Rig;
+use crate::rig::plan;
 
 /// Returns the steps of a complete stream of the events `from..=to`.
 ///
@@ -169,21 +175,40 @@
     }
 }
 
+/// Starts an endpoint whose small model answers with low confidence.
+fn unsure_if_small() -> FakeEndpoint {
+    FakeEndpoint::start(|_, request| {
+        let is_small = request.header("papayatray-model") == Some("small");
+        let confidence = if is_small { 10 } else { 95 };
+        let text = if is_small { "small" } else { "large" };
+        vec![
+            Step::Send(stream_head(request, confidence)),
+            Step::Send(chunk(&format!("id: 1\ndata: {text}\n\n"))),
+            Step::Send(end()),
+        ]
+    })
+}
+
+/// While endpoints lose many answers, retries use up the budget. An answer that has begun must then
+/// be passed on, not dropped for one of a larger model that may not be asked any more.
 #[test]
-fn response_with_low_confidence_is_replaced_by_that_of_a_larger_model() {
-    let fake = || {
-        FakeEndpoint::start(|_, request| {
-            let is_small = request.header("papayatray-model") == Some("small");
-            let confidence = if is_small { 10 } else { 95 };
-            let text = if is_small { "small" } else { "large" };
-            vec![
-                Step::Send(stream_head(request, confidence)),
-                Step::Send(chunk(&format!("id: 1\ndata: {text}\n\n"))),
-                Step::Send(end()),
-            ]
-        })
+fn response_with_low_confidence_is_kept_while_the_retry_budget_is_exhausted() {
+    let (one, two) = (unsure_if_small(), unsure_if_small());
+    let no_retries = ArrivalBound {
+        ratio: 0.0,
+        slack: 0.0,
+        window: Millis::from_secs(10),
     };
-    let (one, two) = (fake(), fake());
+    let rig = Rig::with_arrivals(Arc::new(SystemClock::default()), no_retries);
+    rig.apply_update(plan(), &[&one, &two]);
+    let response = rig.request("/sized/", "Papayatray-Model: *\r\n");
+    assert_eq!(response.status, 200);
+    assert!(response.body.contains("small"), "{response:?}");
+}
+
+#[test]
+fn response_with_low_confidence_is_replaced_by_that_of_a_larger_model() {
+    let (one, two) = (unsure_if_small(), unsure_if_small());
     let rig = Rig::start(&[&one, &two]);
     let response = rig.request("/sized/", "Papayatray-Model: *\r\n");
     assert!(
