fix(gateway): leave no part of the retry budget aside

Change: larger models and retries draw on one budget as before; the attempt is still paid for before an answer is dropped.

--- a/papayatray_core/src/gateway/arrivals.rs
+++ b/papayatray_core/src/gateway/arrivals.rs
@@ -14,9 +14,6 @@
 /// Part of the bound that an entry uses; the rest covers uneven load and clock differences among
 /// entries.
 const USED_BOUND_SHARE: f64 = 0.85;
-/// Part of the budget that only retries of failed requests may use: a larger model improves an
-/// answer, a retry saves the request.
-const RETRY_RESERVE_SHARE: f64 = 0.1;
 
 /// Bound on extra arrivals at a service from all entries together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,13 +34,6 @@
     extras: u32,
 }
 
-/// Extra arrivals of a service within the window.
-#[derive(Clone, Copy, Debug)]
-struct WindowBudget {
-    allowed: f64,
-    extras: f64,
-}
-
 /// One entry's part of the fleet-wide budget, by service.
 #[derive(Clone, Debug)]
 pub struct ArrivalBudget {
@@ -74,21 +64,9 @@
         self.bucket(service, now).requests += 1;
     }
 
-    /// Spends one extra arrival to retry a failed request; returns false if the budget is exhausted.
+    /// Spends one extra arrival; returns false if the budget is exhausted.
     pub fn spend(&mut self, service: &ServiceId, now: Millis) -> bool {
-        self.spend_above(0.0, service, now)
-    }
-
-    /// Spends one extra arrival to ask a larger model; returns false if what remains is reserved for
-    /// retries.
-    pub fn spend_on_larger_model(&mut self, service: &ServiceId, now: Millis) -> bool {
-        self.spend_above(RETRY_RESERVE_SHARE, service, now)
-    }
-
-    /// Spends one extra arrival unless less than `reserve`, a part of the budget, would remain.
-    fn spend_above(&mut self, reserve: f64, service: &ServiceId, now: Millis) -> bool {
-        let budget = self.budget(service, now);
-        if budget.allowed * (1.0 - reserve) - budget.extras < 1.0 {
+        if self.remaining(service, now) < 1.0 {
             return false;
         }
         self.bucket(service, now).extras += 1;
@@ -100,12 +78,6 @@
     /// The number is negative if requests have left the window while the extra arrivals that they
     /// allowed are still within it.
     pub fn remaining(&mut self, service: &ServiceId, now: Millis) -> f64 {
-        let budget = self.budget(service, now);
-        budget.allowed - budget.extras
-    }
-
-    /// Returns the extra arrivals that are allowed and made within the window.
-    fn budget(&mut self, service: &ServiceId, now: Millis) -> WindowBudget {
         self.expire(service, now);
         let buckets = self.services.get(service);
         let sum = |count: fn(&Bucket) -> u32| {
@@ -113,10 +85,8 @@
             all.map(|bucket| f64::from(count(bucket))).sum::<f64>()
         };
         let slack = self.bound.slack / self.entries as f64;
-        WindowBudget {
-            allowed: (self.bound.ratio * sum(|b| b.requests) + slack) * USED_BOUND_SHARE,
-            extras: sum(|b| b.extras),
-        }
+        let allowed = (self.bound.ratio * sum(|b| b.requests) + slack) * USED_BOUND_SHARE;
+        allowed - sum(|b| b.extras)
     }
 
     fn bucket(&mut self, service: &ServiceId, now: Millis) -> &mut Bucket {
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -206,7 +206,7 @@
     pub(super) fn switch_model(&mut self, size_index: usize) -> bool {
         let now = self.gateway.clock.now();
         let service = &self.request.service;
-        let is_allowed = self.gateway.budget().spend_on_larger_model(service, now);
+        let is_allowed = self.gateway.budget().spend(service, now);
         if is_allowed {
             self.size_index = size_index;
             self.is_prepaid = true;
