--- /dev/null
+++ b/papayatrayd/src/gateway/attempt.rs
@@ -0,0 +1,130 @@
+//! One attempt in flight at an endpoint, and the response that it started.
+
+use std::sync::Arc;
+
+use http::response;
+use hyper::body::Incoming;
+use papayatray_core::clock::Millis;
+
+use super::connection_pool::EndpointConnection;
+use super::dialect::ResponseMetadata;
+use super::fleet::Prompt;
+use super::fleet::SelectedEndpoint;
+use super::state::AttemptOutcome;
+use super::state::Gateway;
+use crate::observe::Span;
+
+/// Response whose head has arrived and whose body is still to be read.
+#[derive(Debug)]
+pub(super) struct StartedResponse {
+    pub(super) attempt: InFlightAttempt,
+    pub(super) metadata: ResponseMetadata,
+    pub(super) head: response::Parts,
+    pub(super) body: Incoming,
+    pub(super) connection: EndpointConnection,
+    /// Whether the connection may return to the pool once the body has been read.
+    pub(super) is_reusable: bool,
+}
+
+impl StartedResponse {
+    /// Returns the connection to the pool; the body must have been read to its end.
+    pub(super) fn return_connection(self) {
+        if self.is_reusable {
+            let now = self.attempt.gateway.clock.now();
+            let connections = &self.attempt.gateway.connections;
+            connections.put(
+                &self.attempt.endpoint.id,
+                self.connection,
+                &self.head.headers,
+                now,
+            );
+        }
+    }
+}
+
+/// Attempt in flight at an endpoint; it counts towards the endpoint's load until dropped.
+#[derive(Debug)]
+pub(super) struct InFlightAttempt {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) endpoint: SelectedEndpoint,
+    pub(super) started_at: Millis,
+    prompt: Prompt,
+    /// Prefill time still counted in the endpoint's backlog.
+    prefill_ms: f64,
+    pub(super) span: Span,
+}
+
+impl InFlightAttempt {
+    pub(super) fn new(
+        gateway: &Arc<Gateway>,
+        endpoint: SelectedEndpoint,
+        prompt: Prompt,
+        span: Span,
+    ) -> Self {
+        let started_at = gateway.clock.now();
+        let prefill_ms = gateway
+            .fleet()
+            .start_request(&endpoint, &prompt, started_at);
+        span.add("endpoint", || endpoint.id.to_string());
+        span.add("release", || endpoint.release.clone());
+        Self {
+            span,
+            prompt,
+            prefill_ms,
+            started_at,
+            gateway: Arc::clone(gateway),
+            endpoint,
+        }
+    }
+
+    /// Removes this attempt's prefill from the endpoint's backlog.
+    pub(super) fn record_prefill_done(&mut self) {
+        let prefill_ms = std::mem::take(&mut self.prefill_ms);
+        self.gateway
+            .fleet()
+            .finish_prefill(&self.endpoint.id, prefill_ms);
+    }
+
+    /// Records a successful response, or the first event of a stream: in the release tally, the
+    /// latency estimates and the endpoint's health.
+    pub(super) fn record_success(&mut self, latency_key: (&str, usize)) {
+        self.record_prefill_done();
+        let now = self.gateway.clock.now();
+        let latency = now.since(self.started_at);
+        self.gateway.record_outcome(
+            &self.endpoint,
+            AttemptOutcome::Responded(latency),
+            latency_key,
+        );
+        let mut fleet = self.gateway.fleet();
+        fleet.record_latency(&self.endpoint, &self.prompt, latency);
+        let health = fleet.health(&self.endpoint.service);
+        health.record_success(&self.endpoint.id, latency, now);
+    }
+
+    /// Records a failed response in the release tally and the endpoint's health.
+    pub(super) fn record_failure(&self, latency_key: (&str, usize)) {
+        let now = self.gateway.clock.now();
+        self.gateway
+            .record_outcome(&self.endpoint, AttemptOutcome::Failed, latency_key);
+        let mut fleet = self.gateway.fleet();
+        let health = fleet.health(&self.endpoint.service);
+        health.record_failure(&self.endpoint.id, now);
+    }
+
+    /// Records that no connection could be opened, and closes the pooled ones.
+    pub(super) fn record_unreachable(&self) {
+        let now = self.gateway.clock.now();
+        self.gateway.connections.close_idle(&self.endpoint.id);
+        let mut fleet = self.gateway.fleet();
+        let health = fleet.health(&self.endpoint.service);
+        health.record_unreachable(&self.endpoint.id, now);
+    }
+}
+
+impl Drop for InFlightAttempt {
+    fn drop(&mut self) {
+        self.record_prefill_done();
+        self.gateway.fleet().end_request(&self.endpoint.id);
+    }
+}
--- a/papayatrayd/src/gateway/mod.rs
+++ b/papayatrayd/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! this module.
 
 mod api;
+mod attempt;
 mod attempts;
 mod connection_pool;
 mod control_state;
--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -20,8 +20,8 @@
 use smol::Timer;
 use smol::future::FutureExt;
 
+use super::attempt::StartedResponse;
 use super::attempts::Attempts;
-use super::attempts::StartedResponse;
 use super::dialect::Dialect;
 use super::dialect::RequestMetadata;
 use super::refusal::Refusal;
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -18,8 +18,8 @@
 use smol::future::yield_now;
 use smol::stream;
 
+use super::attempt::StartedResponse;
 use super::attempts::Attempts;
-use super::attempts::StartedResponse;
 use super::events::EventReader;
 use super::events::StreamEvent;
 use super::refusal::Refusal;
