--- a/papayatray_core/tests/core/gateway_entries.rs
+++ b/papayatray_core/tests/core/gateway_entries.rs
@@ -23,7 +23,7 @@
     }
 }
 
-/// 195 entries start and sync five times a second; each is told of each other once.
+/// 195 entries start and sync five times a second; each is sent each other once.
 #[test]
 fn each_change_is_sent_once_to_each_reader() {
     let mut register = EntryRegister::default();
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -415,13 +415,13 @@
         self.crashes().suspects()
     }
 
-    /// Returns some of the crashes that this entry has seen, from report number `number` on.
+    /// Returns the next crashes that this entry has seen, after report number `number`.
     pub fn crash_reports_since(&self, number: u64) -> UpdateBatch<Suspect> {
         lock(&self.crash_reports).batch_since(number, MAX_REPORTS_PER_SYNC)
     }
 
-    /// Returns the endpoints that stated to this entry that they are leaving, from update number
-    /// `number` on.
+    /// Returns the endpoints that stated to this entry that they are leaving, after departure number
+    /// `number`.
     pub fn departures_since(&self, number: u64) -> UpdateBatch<Deregistration> {
         self.fleet().departures_since(number)
     }
--- a/papayatrayd/tests/gateway/sync.rs
+++ b/papayatrayd/tests/gateway/sync.rs
@@ -141,13 +141,13 @@
     assert!(third.endpoints.changed.is_empty());
 }
 
-/// 195 entries start at once: what they are told in all grows with the square of their number, not
+/// 195 entries start at once: what is sent to them in all grows with the square of their number, not
 /// with its cube.
 #[test]
-fn starting_entries_are_told_of_each_other_once() {
+fn starting_entries_are_sent_each_other_once() {
     let replica = replica();
     let mut replies: Vec<Option<SyncReply>> = vec![None; ENTRIES];
-    let mut told = 0;
+    let mut sent = 0;
     for _ in 0..3 {
         for (number, last) in replies.iter_mut().enumerate() {
             let vm = format!("vm-{number}");
@@ -156,11 +156,11 @@
                 Some(reply) => next_request(&vm, reply),
             };
             let reply = sync(&replica, request);
-            told += reply.entries.changed.len();
+            sent += reply.entries.changed.len();
             *last = Some(reply);
         }
     }
-    assert_eq!(told, ENTRIES * ENTRIES);
+    assert_eq!(sent, ENTRIES * ENTRIES);
 }
 
 #[test]
