feat(gateway): log and count what rate limit an endpoint states, and the attempts made in spite of it

The logs of the incident could not tell whether entries had not read the limit, kept it each for themselves, or kept it for first attempts only. Entries now decode the statement, log endpoint_limited and endpoint_unlimited on a change, show the limit of the endpoint in each attempt line, and count first and repeated attempts at such endpoints apart. Where requests are sent does not change.

--- a/papayatray_core/src/gateway/mod.rs
+++ b/papayatray_core/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod arrivals;
 pub mod crashes;
+mod decimal;
 pub mod entry_register;
 pub mod freshness;
 pub mod load_table;
@@ -12,6 +13,7 @@
 pub mod placement;
 pub mod plan;
 pub mod prefix_directory;
+pub mod rate_limits;
 pub mod replicas;
 pub mod rollout;
 pub mod sizing;
--- a/papayatray_core/src/gateway/pauses.rs
+++ b/papayatray_core/src/gateway/pauses.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use super::decimal;
 use crate::clock::Millis;
 use crate::id::EndpointId;
 use crate::id::Incarnation;
@@ -17,19 +18,14 @@
 /// The value is a number of seconds, which may have a fraction. Zero, a date and any other text ask
 /// for none; a longer time than ten minutes counts as ten minutes.
 pub fn requested_pause(value: &str) -> Option<Millis> {
-    let value = value.trim();
-    let is_number = |c: char| c.is_ascii_digit() || c == '.';
-    if !value.chars().all(is_number) {
-        return None;
-    }
-    let seconds: f64 = value.parse().ok()?;
+    let thousandths = decimal::thousandths(value)?;
     // Rounded up, so that the pause does not end before the stated time.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "not negative, and the cast saturates"
     )]
-    let millis = (seconds * 1_000.0).ceil() as u64;
+    let millis = thousandths.ceil() as u64;
     (millis > 0).then(|| Millis::new(millis).min(MAX_PAUSE))
 }
 
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -327,7 +327,12 @@
     ) -> Result<Option<StartedResponse>, Refusal> {
         let (head, body) = received.response.into_parts();
         let metadata = self.gateway.dialect.response_metadata(&head);
-        self.gateway.record_statements(&attempt.endpoint, &metadata);
+        self.gateway.record_statements(
+            &attempt.endpoint,
+            &metadata,
+            &self.request.metadata.id,
+            attempt.started_at,
+        );
         if metadata.not_run {
             self.record_rejection(&attempt);
             return Ok(None);
@@ -412,9 +417,20 @@
         // After an escalation to a larger model, `possible_runs` is above 0 even without a failure.
         let is_first_success = outcome == "200" && self.possible_runs == 0 && self.rejections == 0;
         let now = self.gateway.clock.now();
+        let rate_limit = attempt.endpoint.rate_limit;
+        if rate_limit.is_some() {
+            self.gateway
+                .metrics
+                .count_event(if self.arrivals > 1 || self.size_index > 0 {
+                    "limited_endpoint_repeat"
+                } else {
+                    "limited_endpoint_first"
+                });
+        }
+        let limit = rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
         request_event(
             &self.request.metadata.id,
-            !is_first_success && self.size_index == 0,
+            (!is_first_success && self.size_index == 0) || rate_limit.is_some(),
             "attempt",
             &[
                 ("service", &self.request.service),
@@ -422,6 +438,7 @@
                 ("release", &attempt.endpoint.release),
                 ("size", &self.size_index),
                 ("expected_ms", &attempt.endpoint.expected_ms),
+                ("limit", &limit),
                 ("runs", &self.possible_runs),
                 ("rejected", &self.rejections),
                 ("left_ms", &self.request.remaining(now).as_u64()),
--- a/papayatrayd/src/gateway/dialect.rs
+++ b/papayatrayd/src/gateway/dialect.rs
@@ -6,6 +6,7 @@
 use http::request;
 use http::response;
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::rate_limits::RequestRate;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::ModelId;
 use papayatray_core::id::OrganisationId;
@@ -98,6 +99,8 @@
     pub is_leaving: bool,
     /// Time for which the endpoint, which turned the request away, wants none from this entry.
     pub pause: Option<Millis>,
+    /// Requests a second that the endpoint takes from all entries together.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// Header conventions of a deployment.
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -18,6 +18,8 @@
 use papayatray_core::gateway::placement::Work;
 use papayatray_core::gateway::prefix_directory::CachedPrefix;
 use papayatray_core::gateway::prefix_directory::PrefixDirectory;
+use papayatray_core::gateway::rate_limits::RateLimits;
+use papayatray_core::gateway::rate_limits::RequestRate;
 use papayatray_core::gateway::rollout::ReleaseEligibility;
 use papayatray_core::gateway::speed::PrefillSpeed;
 use papayatray_core::gateway::updates::UpdateBatch;
@@ -56,6 +58,8 @@
     pub expected_ms: u32,
     /// Tokens of the prompt that are not cached at the endpoint and need prefill.
     pub prefill_tokens: u32,
+    /// Requests a second that the endpoint takes from all entries, if it stated a limit.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// Inputs of the selection of an endpoint for one attempt.
@@ -108,6 +112,8 @@
     health: BTreeMap<ServiceId, Health>,
     /// Endpoints that want no requests from this entry for a time.
     pauses: Pauses,
+    /// Requests a second that endpoints state they take from all entries together.
+    rate_limits: RateLimits,
     /// Endpoints that stated to this entry that they are leaving, for the control replicas.
     departures: UpdateLog<Deregistration>,
     heartbeat_interval: Millis,
@@ -126,6 +132,7 @@
             prefix_updates: UpdateLog::new(MAX_PREFIX_UPDATES),
             health: BTreeMap::new(),
             pauses: Pauses::default(),
+            rate_limits: RateLimits::default(),
             departures: UpdateLog::new(MAX_DEPARTURES),
         }
     }
@@ -172,6 +179,7 @@
         }
         self.cached_prefixes.forget(id);
         self.pauses.forget(id);
+        self.rate_limits.forget(id);
     }
 
     /// Records that an endpoint stated in a response that it is leaving, which holds for the rest
@@ -208,6 +216,11 @@
             .record(&selected.id, selected.incarnation, duration, now);
     }
 
+    /// Returns the rate limits that endpoints have stated.
+    pub(super) const fn rate_limits(&mut self) -> &mut RateLimits {
+        &mut self.rate_limits
+    }
+
     /// Returns the time until the first of a service's endpoints may get requests again, or `None`
     /// unless all that accept requests are paused.
     pub(super) fn shortest_pause(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
@@ -367,6 +380,7 @@
             address: endpoint.address.parse().ok()?,
             service: service.clone(),
             release: endpoint.release.clone(),
+            rate_limit: self.rate_limits.rate(selection.id, endpoint.incarnation),
         })
     }
 
--- a/papayatrayd/src/gateway/headers.rs
+++ b/papayatrayd/src/gateway/headers.rs
@@ -9,6 +9,7 @@
 use http::response;
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::pauses::requested_pause;
+use papayatray_core::gateway::rate_limits::RequestRate;
 use papayatray_core::id::OrganisationId;
 
 use super::dialect::AttemptContext;
@@ -52,6 +53,9 @@
     pub confidence: HeaderName,
     /// Set by endpoints to state that they are leaving; not forwarded in either direction.
     pub leaving: HeaderName,
+    /// Set by endpoints to state the requests a second that they take from all entries together;
+    /// not forwarded in either direction.
+    pub rate_limit: HeaderName,
     /// Further headers that are removed from callers' requests.
     pub reserved: Vec<HeaderName>,
 }
@@ -70,6 +74,7 @@
             not_run: HeaderName::from_static("papayatray-not-run"),
             confidence: HeaderName::from_static("papayatray-confidence"),
             leaving: HeaderName::from_static("papayatray-leaving"),
+            rate_limit: HeaderName::from_static("papayatray-rate-limit"),
             reserved: Vec::new(),
         }
     }
@@ -114,7 +119,8 @@
         for name in [&header::AUTHORIZATION, &header::EXPECT] {
             forwarded.remove(name);
         }
-        for name in names.reserved.iter().chain([&names.leaving]) {
+        let own = [&names.leaving, &names.rate_limit];
+        for name in names.reserved.iter().chain(own) {
             forwarded.remove(name);
         }
         forwarded.insert(
@@ -140,6 +146,7 @@
     fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap {
         let mut forwarded = end_to_end(headers);
         forwarded.remove(&self.names.leaving);
+        forwarded.remove(&self.names.rate_limit);
         forwarded
     }
 
@@ -150,6 +157,7 @@
         ResponseMetadata {
             is_leaving: header_text(headers, &names.leaving) == Some(LEAVING),
             pause: pause_of(head),
+            rate_limit: header_text(headers, &names.rate_limit).and_then(RequestRate::parse),
             not_run: headers.contains_key(&names.not_run) || is_misdirected,
             has_run,
             request_id: header_text(headers, &names.request).map(str::to_owned),
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use papayatray_core::gateway::entry_register::EntryList;
 use papayatray_core::gateway::freshness;
 use papayatray_core::gateway::freshness::PlanFreshness;
+use papayatray_core::gateway::rate_limits::RequestRate;
 use papayatray_core::gateway::rollout::ReleaseEligibility;
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::gateway::table::RouteTable;
@@ -459,12 +460,15 @@
         });
     }
 
-    /// Records what an endpoint states about itself in the head of a response: that it is leaving,
-    /// or wants no requests for a time.
+    /// Records what an endpoint states about itself in the head of the response to `request`, which
+    /// was sent at `sent_at`: that it is leaving, wants no requests for a time, or how many a second
+    /// it takes.
     pub(super) fn record_statements(
         &self,
         endpoint: &SelectedEndpoint,
         metadata: &ResponseMetadata,
+        request: &str,
+        sent_at: Millis,
     ) {
         if metadata.is_leaving && self.fleet().record_departure(endpoint) {
             self.connections.close_idle(&endpoint.id);
@@ -488,6 +492,45 @@
                 &[("endpoint", &endpoint.id), ("pause_ms", &pause.as_u64())],
             );
         }
+        if let Some(rate) = metadata.rate_limit {
+            self.record_rate_limit(endpoint, rate);
+        } else if metadata.has_run && metadata.request_id.as_deref() == Some(request) {
+            // Rejections, and late responses to earlier requests, do not say that a limit ended.
+            self.lift_rate_limit(endpoint, sent_at);
+        }
+    }
+
+    fn record_rate_limit(&self, endpoint: &SelectedEndpoint, rate: RequestRate) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet();
+        let limits = fleet.rate_limits();
+        if limits.record(&endpoint.id, endpoint.incarnation, rate, now) {
+            drop(fleet);
+            self.metrics.count_event("endpoint_limited");
+            event(
+                Level::Info,
+                "endpoint_limited",
+                &[
+                    ("endpoint", &endpoint.id),
+                    ("incarnation", &endpoint.incarnation),
+                    ("rate", &rate),
+                ],
+            );
+        }
+    }
+
+    fn lift_rate_limit(&self, endpoint: &SelectedEndpoint, sent_at: Millis) {
+        let mut fleet = self.fleet();
+        let limits = fleet.rate_limits();
+        if limits.lift(&endpoint.id, endpoint.incarnation, sent_at) {
+            drop(fleet);
+            self.metrics.count_event("endpoint_unlimited");
+            event(
+                Level::Info,
+                "endpoint_unlimited",
+                &[("endpoint", &endpoint.id)],
+            );
+        }
     }
 
     pub(super) fn budget(&self) -> MutexGuard<'_, ArrivalBudget> {
