test(gateway): endpoints get more requests from all entries together than they state

Seven entries send 28 requests a second to two endpoints, one of which states a limit of one a second. The clock that tests advance moves from one test file into the rig.

--- a/papayatrayd/tests/gateway/endpoint.rs
+++ b/papayatrayd/tests/gateway/endpoint.rs
@@ -144,6 +144,13 @@
     .into_bytes()
 }
 
+/// Adds a header line to the head of a response.
+pub fn with_header(response: Vec<u8>, line: &str) -> Vec<u8> {
+    let text = String::from_utf8(response).unwrap();
+    let (status, rest) = text.split_once("\r\n").unwrap();
+    format!("{status}\r\n{line}{rest}").into_bytes()
+}
+
 /// Returns a response which states that the request did not run.
 pub fn not_run(request: &ReceivedRequest) -> Vec<u8> {
     let id = request.header("papayatray-request").unwrap_or_default();
--- a/papayatrayd/tests/gateway/leaving.rs
+++ b/papayatrayd/tests/gateway/leaving.rs
@@ -13,6 +13,7 @@
 use crate::endpoint::event;
 use crate::endpoint::not_run;
 use crate::endpoint::response;
+use crate::endpoint::with_header;
 use crate::rig::Rig;
 use crate::rig::announcement;
 use crate::rig::plan;
@@ -22,13 +23,6 @@
 /// Header by which an endpoint states that it is leaving.
 const LEAVING: &str = "Papayatray-Leaving: 1\r\n";
 
-/// Adds a header line to the head of a response.
-fn with_header(response: Vec<u8>, line: &str) -> Vec<u8> {
-    let text = String::from_utf8(response).unwrap();
-    let (status, rest) = text.split_once("\r\n").unwrap();
-    format!("{status}\r\n{line}{rest}").into_bytes()
-}
-
 fn sync_request(vm: &str, departures: UpdateBatch<Deregistration>) -> SyncRequest {
     SyncRequest {
         departures,
--- a/papayatrayd/tests/gateway/main.rs
+++ b/papayatrayd/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod headers;
 mod leaving;
 mod pauses;
+mod rate_limits;
 mod relay;
 mod rig;
 mod settings;
--- a/papayatrayd/tests/gateway/pauses.rs
+++ b/papayatrayd/tests/gateway/pauses.rs
@@ -1,37 +1,18 @@
 //! Endpoints that turn requests away for a stated time get none from this entry within it.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 
 use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
 use papayatray_core::id::Incarnation;
-use papayatrayd::observe::SystemClock;
 
 use crate::endpoint::FakeEndpoint;
 use crate::endpoint::Step;
 use crate::endpoint::response;
+use crate::rig::AdvancedClock;
 use crate::rig::Rig;
 use crate::rig::plan;
 
-/// System clock that a test can advance.
-#[derive(Debug, Default)]
-struct AdvancedClock {
-    clock: SystemClock,
-    advance: AtomicU64,
-}
-
-impl Clock for AdvancedClock {
-    fn now(&self) -> Millis {
-        self.clock.now() + Millis::new(self.advance.load(Ordering::Relaxed))
-    }
-
-    fn wall(&self) -> Millis {
-        self.clock.wall()
-    }
-}
-
 /// Returns an endpoint that turns away every request with this `Retry-After`.
 fn pausing_endpoint(retry_after: &'static str) -> FakeEndpoint {
     FakeEndpoint::start(move |_, request| {
@@ -72,7 +53,7 @@
         assert_eq!(rig.request("/safe/x", "").status, 200);
     }
     assert_eq!(paused.requests().len(), 1);
-    clock.advance.store(301_000, Ordering::Relaxed);
+    clock.advance(Millis::from_secs(301));
     send_until_received(2);
     assert_eq!(paused.requests().len(), 2);
 }
--- /dev/null
+++ b/papayatrayd/tests/gateway/rate_limits.rs
@@ -0,0 +1,145 @@
+//! Endpoints that state how many requests a second they take from all entries together.
+
+use std::sync::Arc;
+
+use papayatray_core::clock::Clock;
+use papayatray_core::clock::Millis;
+use papayatray_core::gateway::entry_register::EntryUpdates;
+use papayatray_wire::peer::EndpointUpdates;
+use papayatray_wire::peer::SyncReply;
+
+use crate::endpoint::FakeEndpoint;
+use crate::endpoint::Step;
+use crate::endpoint::response;
+use crate::endpoint::with_header;
+use crate::rig::AMPLE_RETRIES;
+use crate::rig::AdvancedClock;
+use crate::rig::Rig;
+use crate::rig::announcement;
+use crate::rig::plan;
+
+/// Entries of the smallest deployments.
+const ENTRIES: usize = 7;
+/// Time from the first statement of a limit until it binds.
+const CONTACT_TIME: Millis = Millis::from_secs(3);
+/// Span over which requests are compared with the limit.
+const WINDOW: Millis = Millis::from_secs(4);
+/// Multiple of the limit that requests may reach within a window.
+const TOLERANCE: f64 = 1.5;
+/// Requests beyond the multiple that are tolerated within a window.
+const SLACK: f64 = 5.0;
+
+/// Returns an endpoint that states this limit in each response.
+fn limiting_endpoint(rate: &'static str) -> FakeEndpoint {
+    FakeEndpoint::start(move |_, request| {
+        let line = format!("Papayatray-Rate-Limit: {rate}\r\n");
+        vec![Step::Send(with_header(
+            response(request, "200 OK", "limited"),
+            &line,
+        ))]
+    })
+}
+
+fn steady_endpoint() -> FakeEndpoint {
+    FakeEndpoint::start(|_, request| vec![Step::Send(response(request, "200 OK", "steady"))])
+}
+
+/// Entries that know one another and these endpoints, and share a clock.
+struct Site<'a> {
+    clock: Arc<AdvancedClock>,
+    entries: Vec<Rig>,
+    endpoints: Vec<&'a FakeEndpoint>,
+}
+
+impl<'a> Site<'a> {
+    fn start(endpoints: &[&'a FakeEndpoint]) -> Self {
+        let clock = Arc::new(AdvancedClock::default());
+        let names = (0..ENTRIES).map(|index| format!("vm-{index}"));
+        let entries = names.map(|name| {
+            let clock = Arc::clone(&clock) as Arc<dyn Clock>;
+            let entry = Rig::with_name(&name, clock, AMPLE_RETRIES);
+            entry.apply_update(plan(), endpoints);
+            entry
+        });
+        let site = Self {
+            entries: entries.collect(),
+            endpoints: endpoints.to_vec(),
+            clock,
+        };
+        site.sync();
+        site
+    }
+
+    /// Gives all entries the list of entries, the leader's time and a heartbeat of each endpoint.
+    fn sync(&self) {
+        let infos = self.entries.iter().map(|entry| entry.gateway.info());
+        let entries = EntryUpdates {
+            number: 1,
+            is_complete: true,
+            changed: infos.collect(),
+            removed: Vec::new(),
+        };
+        let all = self.endpoints.iter().enumerate();
+        let renewed = all.map(|(index, endpoint)| announcement(index, endpoint).id);
+        let reply = SyncReply {
+            is_current: true,
+            version: plan().version,
+            entries,
+            endpoints: EndpointUpdates {
+                renewed: renewed.collect(),
+                ..EndpointUpdates::default()
+            },
+            wall: self.clock.wall(),
+            ..SyncReply::default()
+        };
+        for entry in &self.entries {
+            let now = self.clock.now();
+            entry.gateway.apply_sync("control", reply.clone(), now);
+        }
+    }
+
+    /// Sends a request to each entry every 250 ms, and returns the arrival times at `endpoint`.
+    fn play(&self, duration: Millis, endpoint: &FakeEndpoint) -> Vec<Millis> {
+        let step = Millis::new(250);
+        let mut arrivals = Vec::new();
+        for _ in 0..duration.as_u64() / step.as_u64() {
+            self.clock.advance(step);
+            self.sync();
+            for entry in &self.entries {
+                let before = endpoint.requests().len();
+                entry.request("/safe/x", "");
+                let received = endpoint.requests().len() - before;
+                arrivals.extend(std::iter::repeat_n(self.clock.now(), received));
+            }
+        }
+        arrivals
+    }
+}
+
+/// Returns the most arrivals within a window, after the contact time from the first of them.
+fn most_in_window(arrivals: &[Millis]) -> usize {
+    let binds_at = arrivals[0] + CONTACT_TIME;
+    let bound: Vec<Millis> = arrivals
+        .iter()
+        .copied()
+        .filter(|t| *t >= binds_at)
+        .collect();
+    let counts = bound.iter().enumerate().map(|(index, start)| {
+        let rest = bound[index..].iter();
+        rest.take_while(|time| time.since(*start) < WINDOW).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+fn allowed(rate: f64) -> f64 {
+    TOLERANCE * rate * WINDOW.as_u64() as f64 / 1_000.0 + SLACK
+}
+
+#[test]
+fn rate_limit_of_an_endpoint_is_not_exceeded_by_all_entries_together() {
+    let (limited, steady) = (limiting_endpoint("1"), steady_endpoint());
+    let site = Site::start(&[&limited, &steady]);
+    let arrivals = site.play(Millis::from_secs(30), &limited);
+    let most = most_in_window(&arrivals);
+    assert!(most as f64 <= allowed(1.0), "{most} requests in 4 s");
+}
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use papayatray_core::clock::Clock;
@@ -44,6 +46,42 @@
 
 use crate::endpoint::FakeEndpoint;
 
+/// Retry budget that no test exhausts by accident.
+pub const AMPLE_RETRIES: ArrivalBound = ArrivalBound {
+    ratio: 1.0,
+    slack: 100.0,
+    window: Millis::from_secs(10),
+};
+
+/// System clock that a test can advance.
+#[derive(Debug, Default)]
+pub struct AdvancedClock {
+    clock: SystemClock,
+    /// Milliseconds by which it is ahead of the system clock.
+    ahead: AtomicU64,
+}
+
+impl AdvancedClock {
+    /// Advances the clock.
+    pub fn advance(&self, time: Millis) {
+        self.ahead.fetch_add(time.as_u64(), Ordering::Relaxed);
+    }
+
+    fn ahead(&self) -> Millis {
+        Millis::new(self.ahead.load(Ordering::Relaxed))
+    }
+}
+
+impl Clock for AdvancedClock {
+    fn now(&self) -> Millis {
+        self.clock.now() + self.ahead()
+    }
+
+    fn wall(&self) -> Millis {
+        self.clock.wall() + self.ahead()
+    }
+}
+
 /// Entry under test.
 pub struct Rig {
     /// State of the entry.
@@ -161,16 +199,16 @@
 
     /// Starts an entry that has received no update, with this clock.
     pub fn with_clock(clock: Arc<dyn Clock>) -> Self {
-        let arrivals = ArrivalBound {
-            ratio: 1.0,
-            slack: 100.0,
-            window: Millis::from_secs(10),
-        };
-        Self::with_arrivals(clock, arrivals)
+        Self::with_arrivals(clock, AMPLE_RETRIES)
     }
 
     /// Starts an entry that has received no update, with this clock and retry budget.
     pub fn with_arrivals(clock: Arc<dyn Clock>, arrivals: ArrivalBound) -> Self {
+        Self::with_name("vm-1", clock, arrivals)
+    }
+
+    /// Starts an entry of this name that has received no update, with this clock and retry budget.
+    pub fn with_name(vm: &str, clock: Arc<dyn Clock>, arrivals: ArrivalBound) -> Self {
         let tasks = Tasks::new(2).unwrap();
         let listener = smol::block_on(smol::net::TcpListener::bind("127.0.0.1:0")).unwrap();
         let address = listener.local_addr().unwrap();
@@ -183,7 +221,7 @@
             hold: Millis::from_secs(1),
         };
         let gateway = Arc::new(Gateway::new(
-            VmId::new("vm-1").unwrap(),
+            VmId::new(vm).unwrap(),
             DataCentre::new("here").unwrap(),
             address.to_string(),
             bounds,
