fix(gateway): keep to the rate that an endpoint states, over all entries together

What callers saw: nothing at first. Endpoints in need, which had stated a limit of one request a second, went on getting two to three, and answers there came late.

Cause: entries did not read the statement, so placement treated such an endpoint as any other. The class: a bound on the whole deployment of which each entry sees only its part.

Fix: a second is divided into as many slots as the endpoint takes requests; the slots go round the entries by their place on the roster, on the leader's clock, and lapse when not used. All attempts take one: first ones, retries, larger models, resumed streams. Nothing is asked of other processes, so it holds without control replicas too. A budget of whole requests for each entry would let 195 entries send one each at the same moment. Where all endpoints of a service are paused or at their limits, the request is refused at once with the time of the entry's next slot.

The roster keeps an entry for 10 s after it left the lists: the list of a restarted replica fills only as entries sync, and each would take too large a part meanwhile.

--- a/papayatray_core/src/gateway/mod.rs
+++ b/papayatray_core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod crashes;
 mod decimal;
 pub mod entry_register;
+pub mod entry_roster;
 pub mod freshness;
 pub mod load_table;
 pub mod pauses;
--- a/papayatray_core/src/gateway/rate_limits.rs
+++ b/papayatray_core/src/gateway/rate_limits.rs
@@ -2,7 +2,8 @@
 //! all entries together.
 //!
 //! Load: an endpoint in need that hundreds of entries send to, each of which sees only its own
-//! requests.
+//! requests. Most have a share of far less than one request a second, so a budget for each entry
+//! that allows one request at a time would let all of them send one together.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -11,10 +12,23 @@
 use serde::Serialize;
 
 use super::decimal;
+use super::entry_roster::EntryShare;
 use crate::clock::Millis;
+use crate::digest;
 use crate::id::EndpointId;
 use crate::id::Incarnation;
 
+/// Lowest rate that is used: an endpoint that states less still gets requests now and then, so that
+/// entries notice when its limit ends.
+const MIN_RATE: RequestRate = RequestRate(100);
+/// Time after which an unused slot lapses. Longer, entries with little traffic use more of their
+/// slots; shorter, fewer requests come together.
+const SLOT_LIFETIME: Millis = Millis::from_secs(1);
+/// Change of the leader's clock beyond the delay of its messages, as after a change of leader.
+const MAX_CLOCK_DRIFT: Millis = Millis::new(500);
+/// Milliseconds in a second, times thousandths in one.
+const THOUSANDTHS_PER_MILLI: u128 = 1_000_000;
+
 /// Requests a second, in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -54,6 +68,50 @@
     }
 }
 
+/// Time as it is divided into slots of a limit, of which each belongs to one entry.
+///
+/// The slots of an endpoint are as many a second as its limit allows requests. They are numbered
+/// from the Unix epoch of the leader's clock, and go round the entries, so that no entry has to
+/// ask another. An unused slot lapses after [`SLOT_LIFETIME`].
+#[derive(Clone, Copy, Debug)]
+struct Slots {
+    rate: RequestRate,
+    share: EntryShare,
+    /// Number of the first slot that belongs to the first entry; spreads the slots of endpoints
+    /// with equal limits over the entries.
+    offset: u64,
+}
+
+impl Slots {
+    fn new(endpoint: &EndpointId, rate: RequestRate, share: EntryShare) -> Self {
+        let digest = digest::short(&blake3::hash(endpoint.as_str().as_bytes()));
+        Self {
+            rate: rate.max(MIN_RATE),
+            offset: digest % share.count,
+            share,
+        }
+    }
+
+    /// Returns the number of the slot at `wall`.
+    fn at(&self, wall: Millis) -> u64 {
+        let slot = u128::from(wall.as_u64()) * u128::from(self.rate.0) / THOUSANDTHS_PER_MILLI;
+        u64::try_from(slot).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the time at which a slot begins.
+    fn start(&self, slot: u64) -> Millis {
+        let start = (u128::from(slot) * THOUSANDTHS_PER_MILLI).div_ceil(u128::from(self.rate.0));
+        Millis::new(u64::try_from(start).unwrap_or(u64::MAX))
+    }
+
+    /// Returns the first slot of this entry that is not before `slot`.
+    fn next_own(&self, slot: u64) -> u64 {
+        let EntryShare { index, count } = self.share;
+        let owner = (slot % count + self.offset) % count;
+        slot.saturating_add((index + count - owner) % count)
+    }
+}
+
 /// What one endpoint last stated.
 #[derive(Clone, Copy, Debug)]
 struct Limit {
@@ -61,14 +119,21 @@
     rate: RequestRate,
     /// Time of the last response that stated it.
     stated_at: Millis,
+    slots: Slots,
+    /// Number of the first slot that this entry has not used.
+    unused_slot: u64,
 }
 
-/// Rate limits by endpoint, as its responses state them.
+/// Rate limits by endpoint, as its responses state them, and this entry's share of each.
 #[derive(Clone, Debug, Default)]
 pub struct RateLimits {
     limits: BTreeMap<EndpointId, Limit>,
+    share: EntryShare,
+    /// Difference between the leader's wall clock and this process's monotonic clock.
+    wall_offset: Millis,
 }
 
+/// # Statements
 impl RateLimits {
     /// Records that a response states a limit; returns whether it is a new one.
     pub fn record(
@@ -78,19 +143,26 @@
         rate: RequestRate,
         now: Millis,
     ) -> bool {
-        let previous = self.limits.get(endpoint);
-        if previous.is_some_and(|limit| limit.incarnation > incarnation) {
-            return false;
+        let previous = self.limits.get_mut(endpoint);
+        if let Some(limit) = previous {
+            if limit.incarnation > incarnation {
+                return false;
+            }
+            if (limit.incarnation, limit.rate) == (incarnation, rate) {
+                limit.stated_at = now;
+                return false;
+            }
         }
-        let is_new =
-            previous.is_none_or(|limit| (limit.incarnation, limit.rate) != (incarnation, rate));
+        let slots = Slots::new(endpoint, rate, self.share);
         let limit = Limit {
             incarnation,
             rate,
             stated_at: now,
+            slots,
+            unused_slot: slots.at(now + self.wall_offset) + 1,
         };
         self.limits.insert(endpoint.clone(), limit);
-        is_new
+        true
     }
 
     /// Records that a response to a request sent at `sent_at` states no limit; returns whether a
@@ -116,12 +188,80 @@
 
     /// Returns the limit of an endpoint, which ends with the incarnation that stated it.
     pub fn rate(&self, endpoint: &EndpointId, incarnation: Incarnation) -> Option<RequestRate> {
-        let limit = self.limits.get(endpoint)?;
-        (limit.incarnation == incarnation).then_some(limit.rate)
+        self.limit(endpoint, incarnation).map(|limit| limit.rate)
     }
 
     /// Drops the limit of an endpoint that is gone.
     pub fn forget(&mut self, endpoint: &EndpointId) {
         self.limits.remove(endpoint);
     }
+
+    fn limit(&self, endpoint: &EndpointId, incarnation: Incarnation) -> Option<&Limit> {
+        let limit = self.limits.get(endpoint)?;
+        (limit.incarnation == incarnation).then_some(limit)
+    }
+}
+
+/// # Permits
+impl RateLimits {
+    /// Returns the time until this entry may send an endpoint a request, or `None` if it may now.
+    pub fn remaining(
+        &self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        now: Millis,
+    ) -> Option<Millis> {
+        let limit = self.limit(endpoint, incarnation)?;
+        let wall = now + self.wall_offset;
+        let slot = limit.next_slot(wall);
+        (slot > limit.slots.at(wall)).then(|| limit.slots.start(slot).since(wall))
+    }
+
+    /// Uses the slot that lets this entry send a request now, if the endpoint has a limit.
+    pub fn take(&mut self, endpoint: &EndpointId, incarnation: Incarnation, now: Millis) {
+        let wall = now + self.wall_offset;
+        let limit = self.limits.get_mut(endpoint);
+        if let Some(limit) = limit.filter(|limit| limit.incarnation == incarnation) {
+            limit.unused_slot = limit.next_slot(wall) + 1;
+        }
+    }
+
+    /// Sets this entry's share of all limits.
+    ///
+    /// Slots that began before it changed are not used: another entry may have used them.
+    pub fn set_share(&mut self, share: EntryShare, now: Millis) {
+        if share != self.share {
+            self.share = share;
+            self.restart_slots(now);
+        }
+    }
+
+    /// Sets the difference between the leader's wall clock and this process's monotonic clock.
+    pub fn set_wall_offset(&mut self, offset: Millis, now: Millis) {
+        let step = offset.as_u64().abs_diff(self.wall_offset.as_u64());
+        if step > 0 {
+            self.wall_offset = offset;
+        }
+        if Millis::new(step) > MAX_CLOCK_DRIFT {
+            self.restart_slots(now);
+        }
+    }
+
+    fn restart_slots(&mut self, now: Millis) {
+        let wall = now + self.wall_offset;
+        for (endpoint, limit) in &mut self.limits {
+            limit.slots = Slots::new(endpoint, limit.rate, self.share);
+            limit.unused_slot = limit.slots.at(wall) + 1;
+        }
+    }
+}
+
+impl Limit {
+    /// Returns the next slot that this entry may use, which may begin later than `wall`.
+    fn next_slot(&self, wall: Millis) -> u64 {
+        let oldest = self.slots.at(Millis::new(
+            wall.as_u64().saturating_sub(SLOT_LIFETIME.as_u64()),
+        ));
+        self.slots.next_own(self.unused_slot.max(oldest + 1))
+    }
 }
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -17,6 +17,7 @@
 mod gateway_placement;
 mod gateway_plan;
 mod gateway_prefixes;
+mod gateway_rate_limits;
 mod gateway_replicas;
 mod gateway_rollout;
 mod health;
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -24,6 +24,7 @@
 use super::routed_request::TRACEPARENT;
 use super::routed_request::stale_plan_refusal;
 use super::state::Gateway;
+use super::state::PlacementRequest;
 use crate::observe::request_event;
 
 /// Minimum time left until the deadline for an attempt to be started.
@@ -185,11 +186,8 @@
     ///
     /// Returns `None` if no endpoint can take the request.
     pub(super) fn expected_first_event(&self, size_index: usize) -> Option<Millis> {
-        let prompt = self.prompt_for(size_index);
-        let (service, session_draw) = (&self.request.service, self.request.session_draw);
-        let endpoint = self
-            .gateway
-            .pick(service, &self.excluded, prompt, session_draw)?;
+        let request = self.placement_request(self.prompt_for(size_index));
+        let endpoint = self.gateway.pick(&request)?;
         Some(Millis::new(u64::from(endpoint.expected_ms)))
     }
 
@@ -210,17 +208,22 @@
         }
     }
 
+    fn placement_request(&self, prompt: Prompt) -> PlacementRequest<'_> {
+        PlacementRequest {
+            service: &self.request.service,
+            excluded: &self.excluded,
+            prompt,
+            session_draw: self.request.session_draw,
+        }
+    }
+
     /// Selects an endpoint; every attempt after the first that may have reached one spends retry
     /// budget.
     fn pick_endpoint(&mut self, prompt: Prompt) -> Result<SelectedEndpoint, Refusal> {
-        let session_draw = self.request.session_draw;
-        let service = &self.request.service;
-        let endpoint = self
-            .gateway
-            .pick(service, &self.excluded, prompt, session_draw);
-        let Some(endpoint) = endpoint else {
+        let Some(endpoint) = self.gateway.reserve(&self.placement_request(prompt)) else {
             return Err(self.no_endpoint_refusal());
         };
+        let service = &self.request.service;
         let now = self.gateway.clock.now();
         let is_free = self.arrivals == 0 || std::mem::take(&mut self.is_prepaid);
         if !is_free && !self.gateway.budget().spend(service, now) {
@@ -235,14 +238,14 @@
     /// Returns the refusal for a request that no endpoint may get.
     fn no_endpoint_refusal(&self) -> Refusal {
         let now = self.gateway.clock.now();
-        let pause = self
+        let wait = self
             .gateway
             .fleet()
-            .shortest_pause(&self.request.service, now);
-        match pause {
-            Some(pause) => self.final_refusal(
-                "every endpoint of the service asked for a pause",
-                pause.max(BUSY_RETRY_AFTER),
+            .shortest_wait(&self.request.service, now);
+        match wait {
+            Some(wait) => self.final_refusal(
+                "every endpoint of the service asked for a pause or is at its rate limit",
+                wait.max(BUSY_RETRY_AFTER),
             ),
             None => self.final_refusal(
                 "no endpoint of the service is available",
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -221,15 +221,21 @@
         &mut self.rate_limits
     }
 
+    /// Returns the time until an endpoint may get a request from this entry, or `None` if it may
+    /// now: it asked for a pause, or the entry's share of its rate limit is used up.
+    fn wait_for(&self, endpoint: &Endpoint, now: Millis) -> Option<Millis> {
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        let pause = self.pauses.remaining(id, incarnation, now);
+        pause.max(self.rate_limits.remaining(id, incarnation, now))
+    }
+
     /// Returns the time until the first of a service's endpoints may get requests again, or `None`
-    /// unless all that accept requests are paused.
-    pub(super) fn shortest_pause(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
+    /// unless all that accept requests are paused or at their rate limits.
+    pub(super) fn shortest_wait(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
         let accepting = self.directory.accepting().filter(|e| e.runs(service));
         let mut shortest = None;
         for endpoint in accepting {
-            let remaining = self
-                .pauses
-                .remaining(&endpoint.id, endpoint.incarnation, now)?;
+            let remaining = self.wait_for(endpoint, now)?;
             shortest = Some(shortest.map_or(remaining, |other: Millis| other.min(remaining)));
         }
         shortest
@@ -289,9 +295,10 @@
         let mut primary = Vec::new();
         let mut fallback = Vec::new();
         let accepting = self.directory.accepting();
-        let is_paused = |e: &Endpoint| self.pauses.remaining(&e.id, e.incarnation, now).is_some();
-        let untried = accepting
-            .filter(|e| e.runs(query.service) && !query.excluded.contains(&e.id) && !is_paused(e));
+        let may_get_request = |e: &Endpoint| self.wait_for(e, now).is_none();
+        let untried = accepting.filter(|e| {
+            e.runs(query.service) && !query.excluded.contains(&e.id) && may_get_request(e)
+        });
         for endpoint in untried {
             match (query.eligibility)(&endpoint.release) {
                 ReleaseEligibility::Preferred => primary.push(self.candidate(endpoint, query, now)),
@@ -323,6 +330,19 @@
         None
     }
 
+    /// Selects an endpoint like [`Self::pick`] for a request that is sent at once, which counts
+    /// towards the endpoint's rate limit.
+    pub(super) fn reserve(
+        &mut self,
+        query: &PlacementQuery<'_>,
+        now: Millis,
+    ) -> Option<SelectedEndpoint> {
+        let selected = self.pick(query, now)?;
+        self.rate_limits
+            .take(&selected.id, selected.incarnation, now);
+        Some(selected)
+    }
+
     fn candidate<'a>(
         &'a self,
         endpoint: &'a Endpoint,
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use papayatray_core::gateway::crashes::CrashTable;
 use papayatray_core::gateway::crashes::Suspect;
 use papayatray_core::gateway::entry_register::EntryList;
+use papayatray_core::gateway::entry_roster::EntryRoster;
 use papayatray_core::gateway::freshness;
 use papayatray_core::gateway::freshness::PlanFreshness;
 use papayatray_core::gateway::rate_limits::RequestRate;
@@ -27,6 +28,7 @@
 use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::gateway::updates::UpdateLog;
 use papayatray_core::id::DataCentre;
+use papayatray_core::id::EndpointId;
 use papayatray_core::id::Fingerprint;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::ServiceId;
@@ -94,6 +96,18 @@
     Closed = 2,
 }
 
+/// Request for which an endpoint is sought.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PlacementRequest<'a> {
+    pub(super) service: &'a ServiceId,
+    /// Endpoints that the request must not get.
+    pub(super) excluded: &'a [EndpointId],
+    pub(super) prompt: Prompt,
+    /// Number from 0 to 1 that all requests of a session share; it decides whether the session uses
+    /// the release in roll-out.
+    pub(super) session_draw: f64,
+}
+
 /// List of entries received from one control replica.
 #[derive(Debug, Default)]
 struct ReceivedEntries {
@@ -147,6 +161,8 @@
     wall_offset: Mutex<Millis>,
     /// List of entries from each control replica, by its address.
     entry_lists: Mutex<BTreeMap<String, ReceivedEntries>>,
+    /// Entries that share the bounds of the whole deployment.
+    roster: Mutex<EntryRoster>,
     /// Retry budget of each service.
     budget: Mutex<ArrivalBudget>,
     /// Good and bad responses since the process started, by service and release.
@@ -191,6 +207,7 @@
             rollouts: RwLock::default(),
             wall_offset: Mutex::default(),
             entry_lists: Mutex::default(),
+            roster: Mutex::default(),
             budget: Mutex::new(ArrivalBudget::new(bounds.arrivals)),
             tallies: Mutex::default(),
             latencies: Mutex::default(),
@@ -340,17 +357,27 @@
         lock(&self.fleet)
     }
 
-    /// Selects an endpoint for a request, or returns `None` if none is available.
-    ///
-    /// `session_draw` is a number from 0 to 1 that all requests of a session share; it decides
-    /// whether the session uses the release in roll-out.
-    pub(super) fn pick(
-        &self,
-        service: &ServiceId,
-        excluded: &[papayatray_core::id::EndpointId],
-        prompt: Prompt,
-        session_draw: f64,
-    ) -> Option<SelectedEndpoint> {
+    /// Returns the endpoint that a request would get, or `None` if none is available.
+    pub(super) fn pick(&self, request: &PlacementRequest<'_>) -> Option<SelectedEndpoint> {
+        self.place(request, |fleet, query, now| fleet.pick(query, now))
+    }
+
+    /// Selects an endpoint for a request that is sent at once, or returns `None` if none is
+    /// available.
+    pub(super) fn reserve(&self, request: &PlacementRequest<'_>) -> Option<SelectedEndpoint> {
+        self.place(request, Fleet::reserve)
+    }
+
+    fn place<F>(&self, request: &PlacementRequest<'_>, select: F) -> Option<SelectedEndpoint>
+    where
+        F: FnOnce(&mut Fleet, &PlacementQuery<'_>, Millis) -> Option<SelectedEndpoint>,
+    {
+        let PlacementRequest {
+            service,
+            excluded,
+            prompt,
+            session_draw,
+        } = *request;
         let now = self.clock.now();
         let rollouts = self.rollouts();
         let wall = self.leader_wall(now);
@@ -368,7 +395,7 @@
             entry_count: self.entry_count(),
             max_in_flight: self.max_per_endpoint(service),
         };
-        self.fleet().pick(&query, now)
+        select(&mut self.fleet(), &query, now)
     }
 
     /// Returns this entry's share of the connections allowed to an endpoint of a service, at least
@@ -400,7 +427,10 @@
 
     /// Records the leader's wall clock, which all entries use as the time base of roll-outs.
     fn set_leader_wall(&self, wall: Millis) {
-        *lock(&self.wall_offset) = wall.since(self.clock.now());
+        let now = self.clock.now();
+        let offset = wall.since(now);
+        *lock(&self.wall_offset) = offset;
+        self.fleet().rate_limits().set_wall_offset(offset, now);
     }
 
     fn leader_wall(&self, now: Millis) -> Millis {
--- a/papayatrayd/src/gateway/state/entries.rs
+++ b/papayatrayd/src/gateway/state/entries.rs
@@ -17,6 +17,12 @@
 /// Time for which a control replica's list of entries is used after the replica last confirmed it.
 const ENTRY_LIST_TTL: Millis = Millis::from_secs(3);
 
+impl ReceivedEntries {
+    fn is_fresh(&self, now: Millis) -> bool {
+        now.since(self.updated_at) < ENTRY_LIST_TTL
+    }
+}
+
 /// # Entries
 impl Gateway {
     /// Returns the description of this entry that is sent to the other processes.
@@ -42,10 +48,28 @@
             received.is_from_leader = is_leader;
             received.updated_at = self.clock.now();
         }
+        self.update_roster();
         let count = self.entry_count();
         self.budget().set_entries(count);
     }
 
+    /// Updates the roster from the lists that are up to date, or from all if none is.
+    fn update_roster(&self) {
+        let now = self.clock.now();
+        let entry_lists = lock(&self.entry_lists);
+        let has_fresh = entry_lists.values().any(|list| list.is_fresh(now));
+        let used = entry_lists
+            .values()
+            .filter(|received| !has_fresh || received.is_fresh(now));
+        let listed = used.flat_map(|received| received.list.entries());
+        let mut roster = lock(&self.roster);
+        roster.update(listed.map(|info| &info.vm), now);
+        let share = roster.share(&self.vm);
+        drop(roster);
+        drop(entry_lists);
+        self.fleet().rate_limits().set_share(share, now);
+    }
+
     /// Returns the number of the last change received of a control replica's list of entries.
     pub(in crate::gateway) fn entries_number(&self, control: &str) -> u64 {
         lock(&self.entry_lists)
@@ -61,12 +85,12 @@
     pub fn entries(&self) -> BTreeMap<VmId, EntryInfo> {
         let now = self.clock.now();
         let entry_lists = lock(&self.entry_lists);
-        let is_fresh = |received: &ReceivedEntries| now.since(received.updated_at) < ENTRY_LIST_TTL;
-        let is_leading = |received: &ReceivedEntries| is_fresh(received) && received.is_from_leader;
-        let has_fresh = entry_lists.values().any(is_fresh);
+        let is_leading =
+            |received: &ReceivedEntries| received.is_fresh(now) && received.is_from_leader;
+        let has_fresh = entry_lists.values().any(|list| list.is_fresh(now));
         let has_leading = entry_lists.values().any(is_leading);
         let used = entry_lists.values().filter(|received| {
-            is_leading(received) || (!has_leading && (!has_fresh || is_fresh(received)))
+            is_leading(received) || (!has_leading && (!has_fresh || received.is_fresh(now)))
         });
         let all = used.flat_map(|received| received.list.entries());
         let mut entries: BTreeMap<VmId, EntryInfo> = BTreeMap::new();
--- a/papayatrayd/tests/gateway/pauses.rs
+++ b/papayatrayd/tests/gateway/pauses.rs
@@ -25,13 +25,6 @@
     })
 }
 
-/// Returns the value of `Retry-After` in seconds.
-fn retry_after(head: &str) -> f64 {
-    let mut lines = head.lines();
-    let value = lines.find_map(|line| line.strip_prefix("retry-after:"));
-    value.unwrap().trim().parse().unwrap()
-}
-
 #[test]
 fn paused_endpoint_gets_no_request_until_its_time_is_over() {
     let paused = pausing_endpoint("300.5");
@@ -67,7 +60,7 @@
     let refused = rig.request("/safe/x", "");
     assert_eq!(refused.status, 503);
     // The earlier pause ends after 200 s at most; the random addition is up to a half of that.
-    let seconds = retry_after(&refused.head);
+    let seconds = refused.retry_after();
     assert!((150.0..=300.0).contains(&seconds), "{}", refused.head);
     let received = endpoints.iter().map(|fake| fake.requests().len());
     assert_eq!(received.sum::<usize>(), 2);
--- a/papayatrayd/tests/gateway/rate_limits.rs
+++ b/papayatrayd/tests/gateway/rate_limits.rs
@@ -5,11 +5,13 @@
 use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::entry_register::EntryUpdates;
+use papayatray_core::id::Incarnation;
 use papayatray_wire::peer::EndpointUpdates;
 use papayatray_wire::peer::SyncReply;
 
 use crate::endpoint::FakeEndpoint;
 use crate::endpoint::Step;
+use crate::endpoint::not_run;
 use crate::endpoint::response;
 use crate::endpoint::with_header;
 use crate::rig::AMPLE_RETRIES;
@@ -143,3 +145,93 @@
     let most = most_in_window(&arrivals);
     assert!(most as f64 <= allowed(1.0), "{most} requests in 4 s");
 }
+
+#[test]
+fn requests_of_all_kinds_count_towards_the_limit() {
+    let limited = limiting_endpoint("0.5");
+    let site = Site::start(&[&limited]);
+    let entry = &site.entries[0];
+    assert_eq!(entry.request("/safe/x", "").status, 200);
+    for path in ["/safe/x", "/stream/x", "/once/x", "/sized/x"] {
+        assert_eq!(entry.request(path, "").status, 503, "{path}");
+    }
+    assert_eq!(limited.requests().len(), 1);
+}
+
+#[test]
+fn request_is_refused_at_once_while_every_endpoint_is_at_its_limit() {
+    let limited = limiting_endpoint("0.5");
+    let site = Site::start(&[&limited]);
+    let entry = &site.entries[0];
+    entry.request("/safe/x", "");
+    let refused = entry.request("/safe/x", "");
+    assert_eq!(refused.status, 503);
+    // Seven entries share a request every two seconds; the random addition is up to a half.
+    let seconds = refused.retry_after();
+    assert!((0.25..=21.0).contains(&seconds), "{}", refused.head);
+}
+
+#[test]
+fn endpoint_that_states_its_limit_no_longer_gets_any_number_of_requests() {
+    let endpoint = FakeEndpoint::start(|number, request| {
+        let whole = response(request, "200 OK", "body");
+        let is_limited = number < 2;
+        vec![Step::Send(if is_limited {
+            with_header(whole, "Papayatray-Rate-Limit: 10\r\n")
+        } else {
+            whole
+        })]
+    });
+    let site = Site::start(&[&endpoint]);
+    let arrivals = site.play(Millis::from_secs(20), &endpoint);
+    // The third response lifts the limit at the entry that gets it; each entry gets one in turn.
+    assert!(arrivals.len() > 300, "{}", arrivals.len());
+}
+
+#[test]
+fn rejection_without_the_statement_does_not_lift_the_limit() {
+    let endpoint = FakeEndpoint::start(|number, request| {
+        vec![Step::Send(if number == 0 {
+            let whole = response(request, "200 OK", "body");
+            with_header(whole, "Papayatray-Rate-Limit: 1\r\n")
+        } else {
+            not_run(request)
+        })]
+    });
+    let site = Site::start(&[&endpoint]);
+    let entry = &site.entries[0];
+    entry.request("/safe/x", "");
+    for _ in 0..40 {
+        site.clock.advance(Millis::new(500));
+        site.sync();
+        entry.request("/safe/x", "");
+    }
+    // A request a second for seven entries leaves three for one of them in 20 s.
+    assert!(
+        endpoint.requests().len() <= 4,
+        "{}",
+        endpoint.requests().len()
+    );
+}
+
+#[test]
+fn restarted_endpoint_is_not_limited() {
+    let limited = limiting_endpoint("0.5");
+    let site = Site::start(&[&limited]);
+    let entry = &site.entries[0];
+    entry.request("/safe/x", "");
+    entry.apply_incarnation(plan(), &[&limited], Incarnation(2), 1);
+    assert_eq!(entry.request("/safe/x", "").status, 200);
+    assert_eq!(limited.requests().len(), 2);
+}
+
+#[test]
+fn rate_limit_is_neither_passed_on_nor_taken_from_a_caller() {
+    let limited = limiting_endpoint("5");
+    let site = Site::start(&[&limited]);
+    let answered = site.entries[0].request("/safe/x", "Papayatray-Rate-Limit: 9\r\n");
+    assert_eq!(answered.status, 200);
+    assert!(!answered.head.contains("papayatray-rate-limit"));
+    let forwarded = limited.requests();
+    assert_eq!(forwarded[0].header("papayatray-rate-limit"), None);
+}
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -101,6 +101,15 @@
     pub body: String,
 }
 
+impl ReceivedResponse {
+    /// Returns the value of `Retry-After` in seconds.
+    pub fn retry_after(&self) -> f64 {
+        let mut lines = self.head.lines();
+        let value = lines.find_map(|line| line.strip_prefix("retry-after:"));
+        value.unwrap().trim().parse().unwrap()
+    }
+}
+
 /// Returns a route without an API key to the service `app`, with a latency objective of 2 s and a
 /// time-out of 3 s.
 pub fn route(kind: RouteKind, prefix: &str) -> Route {
