fix(gateway): tell the other entries what rate limit an endpoint states

What callers saw: nothing. An endpoint that had stated a limit went on getting requests from entries to which it had not answered since; on a site of 195 entries, of which each sends it a request every minute or so, that is nearly all of its load.

Cause: the statement was known to the entry that received it alone.

Evidence: the new test entries_that_were_not_told_keep_to_the_limit_too had the second entry's request answered with 200 while entries did not learn from a replica; seen to fail with the one call left out.

Fix: an entry reports each change to the control replicas it syncs with, which relay it once to each other entry, like departures. The statement with the latest response holds; those of the same endpoint are ordered by the leader's clock, and a statement older than 10 s is ignored, so a replica that leads anew and repeats old ones undoes nothing.

--- a/papayatray_core/src/gateway/rate_limits.rs
+++ b/papayatray_core/src/gateway/rate_limits.rs
@@ -26,6 +26,8 @@
 const SLOT_LIFETIME: Millis = Millis::from_secs(1);
 /// Change of the leader's clock beyond the delay of its messages, as after a change of leader.
 const MAX_CLOCK_DRIFT: Millis = Millis::new(500);
+/// Age from which the statement of another entry is ignored; most arrive within half a second.
+const MAX_STATEMENT_AGE: Millis = Millis::from_secs(10);
 /// Milliseconds in a second, times thousandths in one.
 const THOUSANDTHS_PER_MILLI: u128 = 1_000_000;
 
@@ -112,11 +114,25 @@
     }
 }
 
+/// Limit that an endpoint stated to one entry, as the others are told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateStatement {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Incarnation that stated it.
+    pub incarnation: Incarnation,
+    /// Limit, or `None` if the endpoint states it no longer.
+    pub rate: Option<RequestRate>,
+    /// Time of the response, by the leader's wall clock.
+    pub stated_at: Millis,
+}
+
 /// What one endpoint last stated.
 #[derive(Clone, Copy, Debug)]
 struct Limit {
     incarnation: Incarnation,
-    rate: RequestRate,
+    /// Limit, or `None` if the endpoint states it no longer.
+    rate: Option<RequestRate>,
     /// Time of the last response that stated it.
     stated_at: Millis,
     slots: Slots,
@@ -135,29 +151,80 @@
 
 /// # Statements
 impl RateLimits {
-    /// Records that a response states a limit; returns whether it is a new one.
+    /// Records that a response states a limit; returns the statement for the other entries if the
+    /// limit is a new one.
     pub fn record(
         &mut self,
         endpoint: &EndpointId,
         incarnation: Incarnation,
         rate: RequestRate,
         now: Millis,
+    ) -> Option<RateStatement> {
+        self.store(endpoint, incarnation, Some(rate), now, now)
+            .then(|| self.statement(endpoint, incarnation, Some(rate), now))
+    }
+
+    /// Records that a response to a request sent at `sent_at` states no limit; returns the statement
+    /// for the other entries if a limit ends with it.
+    ///
+    /// A limit stated after the request was sent stays: responses may overtake each other.
+    pub fn lift(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        sent_at: Millis,
+        now: Millis,
+    ) -> Option<RateStatement> {
+        let limit = self.limit(endpoint, incarnation)?;
+        let is_lifted = limit.rate.is_some() && limit.stated_at <= sent_at;
+        (is_lifted && self.store(endpoint, incarnation, None, now, now))
+            .then(|| self.statement(endpoint, incarnation, None, now))
+    }
+
+    /// Records what an endpoint stated to another entry; returns whether it changes the limit.
+    ///
+    /// A statement is ignored if a later one is known, or if it is so old that it may have been
+    /// superseded by one that did not arrive.
+    pub fn learn(&mut self, statement: &RateStatement, now: Millis) -> bool {
+        let stated_at = statement.stated_at.since(self.wall_offset);
+        let is_recent = now.since(stated_at) <= MAX_STATEMENT_AGE;
+        is_recent
+            && self.store(
+                &statement.endpoint,
+                statement.incarnation,
+                statement.rate,
+                // Ahead of this entry's own clock after a step of the leader's.
+                stated_at.min(now),
+                now,
+            )
+    }
+
+    /// Stores a statement unless a later one is known; returns whether it changes the limit.
+    fn store(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        rate: Option<RequestRate>,
+        stated_at: Millis,
+        now: Millis,
     ) -> bool {
         let previous = self.limits.get_mut(endpoint);
         if let Some(limit) = previous {
-            if limit.incarnation > incarnation {
+            if (limit.incarnation, limit.stated_at) > (incarnation, stated_at) {
                 return false;
             }
             if (limit.incarnation, limit.rate) == (incarnation, rate) {
-                limit.stated_at = now;
+                limit.stated_at = stated_at;
                 return false;
             }
+        } else if rate.is_none() {
+            return false;
         }
-        let slots = Slots::new(endpoint, rate, self.share);
+        let slots = Slots::new(endpoint, rate.unwrap_or(MIN_RATE), self.share);
         let limit = Limit {
             incarnation,
             rate,
-            stated_at: now,
+            stated_at,
             slots,
             unused_slot: slots.at(now + self.wall_offset) + 1,
         };
@@ -165,30 +232,24 @@
         true
     }
 
-    /// Records that a response to a request sent at `sent_at` states no limit; returns whether a
-    /// limit ends with it.
-    ///
-    /// A limit stated after the request was sent stays: responses may overtake each other.
-    pub fn lift(
-        &mut self,
+    fn statement(
+        &self,
         endpoint: &EndpointId,
         incarnation: Incarnation,
-        sent_at: Millis,
-    ) -> bool {
-        let previous = self.limits.get(endpoint);
-        let is_lifted = previous.is_some_and(|limit| {
-            limit.incarnation < incarnation
-                || (limit.incarnation == incarnation && limit.stated_at <= sent_at)
-        });
-        if is_lifted {
-            self.limits.remove(endpoint);
+        rate: Option<RequestRate>,
+        now: Millis,
+    ) -> RateStatement {
+        RateStatement {
+            endpoint: endpoint.clone(),
+            incarnation,
+            rate,
+            stated_at: now + self.wall_offset,
         }
-        is_lifted
     }
 
     /// Returns the limit of an endpoint, which ends with the incarnation that stated it.
     pub fn rate(&self, endpoint: &EndpointId, incarnation: Incarnation) -> Option<RequestRate> {
-        self.limit(endpoint, incarnation).map(|limit| limit.rate)
+        self.limit(endpoint, incarnation)?.rate
     }
 
     /// Drops the limit of an endpoint that is gone.
@@ -212,6 +273,7 @@
         now: Millis,
     ) -> Option<Millis> {
         let limit = self.limit(endpoint, incarnation)?;
+        limit.rate?;
         let wall = now + self.wall_offset;
         let slot = limit.next_slot(wall);
         (slot > limit.slots.at(wall)).then(|| limit.slots.start(slot).since(wall))
@@ -250,7 +312,7 @@
     fn restart_slots(&mut self, now: Millis) {
         let wall = now + self.wall_offset;
         for (endpoint, limit) in &mut self.limits {
-            limit.slots = Slots::new(endpoint, limit.rate, self.share);
+            limit.slots = Slots::new(endpoint, limit.slots.rate, self.share);
             limit.unused_slot = limit.slots.at(wall) + 1;
         }
     }
--- a/papayatray_core/tests/core/gateway_rate_limits.rs
+++ b/papayatray_core/tests/core/gateway_rate_limits.rs
@@ -55,7 +55,7 @@
                 count: count as u64,
             };
             limits.set_share(share, START);
-            assert!(limits.record(&endpoint(), FIRST, rate, START));
+            assert!(limits.record(&endpoint(), FIRST, rate, START).is_some());
             limits
         });
         Self {
@@ -167,22 +167,55 @@
     let mut limits = RateLimits::default();
     limits.record(&endpoint(), FIRST, rate(1_000), START);
     let before = START.since(Millis::new(1));
-    assert!(!limits.lift(&endpoint(), FIRST, before));
+    assert_eq!(limits.lift(&endpoint(), FIRST, before, START), None);
     assert_eq!(limits.rate(&endpoint(), FIRST), Some(rate(1_000)));
-    assert!(limits.lift(&endpoint(), FIRST, START));
+    assert!(limits.lift(&endpoint(), FIRST, START, START).is_some());
     assert_eq!(limits.rate(&endpoint(), FIRST), None);
+    assert_eq!(limits.remaining(&endpoint(), FIRST, START), None);
 }
 
 #[test]
 fn limit_ends_with_the_incarnation_that_stated_it() {
     let mut limits = RateLimits::default();
     limits.record(&endpoint(), Incarnation(2), rate(1_000), START);
-    assert!(!limits.record(&endpoint(), FIRST, rate(9_000), START));
+    assert_eq!(limits.record(&endpoint(), FIRST, rate(9_000), START), None);
     assert_eq!(limits.rate(&endpoint(), Incarnation(2)), Some(rate(1_000)));
     assert_eq!(limits.rate(&endpoint(), Incarnation(3)), None);
     assert_eq!(limits.remaining(&endpoint(), Incarnation(3), START), None);
 }
 
+#[test]
+fn statements_of_other_entries_hold_in_the_order_in_which_they_were_made() {
+    let [mut teller, mut learner] = [RateLimits::default(), RateLimits::default()];
+    // The clocks of the two processes count from different times.
+    let learner_start = Millis::from_secs(7);
+    teller.set_wall_offset(EPOCH, START);
+    learner.set_wall_offset(EPOCH + START.since(learner_start), learner_start);
+    let second = Millis::from_secs(1);
+    let limited = teller
+        .record(&endpoint(), FIRST, rate(2_000), START)
+        .unwrap();
+    let lifted = teller
+        .lift(&endpoint(), FIRST, START + second, START + second)
+        .unwrap();
+    let later = learner_start + second + second;
+    assert!(learner.learn(&limited, later));
+    assert_eq!(learner.rate(&endpoint(), FIRST), Some(rate(2_000)));
+    assert!(learner.learn(&lifted, later));
+    assert_eq!(learner.rate(&endpoint(), FIRST), None);
+    assert!(!learner.learn(&limited, later));
+    assert_eq!(learner.rate(&endpoint(), FIRST), None);
+}
+
+#[test]
+fn statement_of_another_entry_that_arrives_very_late_is_ignored() {
+    let [mut teller, mut learner] = [RateLimits::default(), RateLimits::default()];
+    let limited = teller
+        .record(&endpoint(), FIRST, rate(2_000), START)
+        .unwrap();
+    assert!(!learner.learn(&limited, START + Millis::from_secs(11)));
+}
+
 #[test]
 fn entry_keeps_its_share_while_a_restarted_replica_lists_few_entries() {
     let all: Vec<VmId> = (0..9).map(vm).collect();
--- a/papayatray_wire/src/peer/gateway.rs
+++ b/papayatray_wire/src/peer/gateway.rs
@@ -8,6 +8,7 @@
 use papayatray_core::gateway::load_table::WorkUpdates;
 use papayatray_core::gateway::plan::Plan;
 use papayatray_core::gateway::prefix_directory::CachedPrefix;
+use papayatray_core::gateway::rate_limits::RateStatement;
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::id::DataCentre;
@@ -64,6 +65,9 @@
     /// Number of the last quarantined request.
     #[serde(default)]
     pub quarantined: u64,
+    /// Number of the last change of a rate limit.
+    #[serde(default)]
+    pub rate_statements: u64,
 }
 
 /// Results of one release of a service at one entry since that entry started.
@@ -103,6 +107,9 @@
     /// Endpoints that stated to this entry that they are leaving.
     #[serde(default)]
     pub departures: UpdateBatch<Deregistration>,
+    /// Changes of rate limits that endpoints stated to this entry.
+    #[serde(default)]
+    pub rate_statements: UpdateBatch<RateStatement>,
     /// Prompt prefixes that endpoints have cached through requests of this entry.
     #[serde(rename = "warm")]
     pub cached_prefixes: UpdateBatch<CachedPrefix>,
@@ -163,6 +170,9 @@
     pub loads: Option<WorkUpdates>,
     /// Requests that crashed so many endpoints that no entry may send them again.
     pub quarantined: UpdateBatch<Suspect>,
+    /// Changes of rate limits that endpoints stated to other entries.
+    #[serde(default)]
+    pub rate_statements: UpdateBatch<RateStatement>,
     /// Prompt prefixes that endpoints have cached through requests of other entries; only from
     /// the leader.
     #[serde(rename = "warm")]
--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -19,6 +19,7 @@
 use papayatray_core::gateway::load_table::LoadTable;
 use papayatray_core::gateway::plan::Plan;
 use papayatray_core::gateway::prefix_directory::CachedPrefix;
+use papayatray_core::gateway::rate_limits::RateStatement;
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::gateway::updates::UpdateLog;
 use papayatray_core::gateway::updates::UpdateRelay;
@@ -53,6 +54,9 @@
 /// Cached-prefix updates retained for entries that sync late; covers some seconds of all entries'
 /// requests.
 const MAX_PREFIX_UPDATES: usize = 1_024;
+/// Changes of rate limits retained for entries that sync late; several for each endpoint of a large
+/// deployment.
+const MAX_RATE_STATEMENTS: usize = 512;
 
 /// State applied from the log.
 #[derive(Clone, Debug, Default)]
@@ -88,6 +92,7 @@
     /// Requests that were quarantined, for the entries.
     quarantined: UpdateLog<Suspect>,
     cached_prefixes: UpdateRelay<CachedPrefix>,
+    rate_statements: UpdateRelay<RateStatement>,
 }
 
 /// State of a control replica, shared by its listeners and background tasks.
@@ -120,6 +125,7 @@
             crashes: CrashTable::with_capacity(MAX_SUSPECTS),
             quarantined: UpdateLog::new(MAX_QUARANTINED),
             cached_prefixes: UpdateRelay::new(MAX_PREFIX_UPDATES),
+            rate_statements: UpdateRelay::new(MAX_RATE_STATEMENTS),
         };
         Self {
             incarnation: Incarnation(wall),
--- a/papayatrayd/src/gateway/control_state/sync.rs
+++ b/papayatrayd/src/gateway/control_state/sync.rs
@@ -31,6 +31,8 @@
 const MAX_PREFIXES_PER_REPLY: usize = 256;
 /// Quarantined requests in one reply.
 const MAX_QUARANTINED_PER_REPLY: usize = 64;
+/// Changes of rate limits in one reply.
+const MAX_RATE_STATEMENTS_PER_REPLY: usize = 128;
 
 /// # Entries
 impl ControlState {
@@ -112,6 +114,7 @@
             versions.heartbeats = 0;
             versions.loads = 0;
             versions.quarantined = 0;
+            versions.rate_statements = 0;
         }
         let plan = applied
             .plan
@@ -144,6 +147,11 @@
             quarantined: inner
                 .quarantined
                 .batch_since(versions.quarantined, MAX_QUARANTINED_PER_REPLY),
+            rate_statements: inner.rate_statements.updates_for(
+                &request.info.vm,
+                versions.rate_statements,
+                MAX_RATE_STATEMENTS_PER_REPLY,
+            ),
             cached_prefixes: is_current.then(prefixes),
         };
         drop(inner);
@@ -173,9 +181,11 @@
             let Inner {
                 entries,
                 cached_prefixes,
+                rate_statements,
                 ..
             } = &mut *inner;
             cached_prefixes.retain(|vm| entries.get(vm).is_some());
+            rate_statements.retain(|vm| entries.get(vm).is_some());
         }
     }
 
@@ -207,6 +217,8 @@
         let incarnation = request.info.incarnation;
         self.cached_prefixes
             .receive(vm, incarnation, &request.cached_prefixes);
+        self.rate_statements
+            .receive(vm, incarnation, &request.rate_statements);
         self.tallies.insert(vm.clone(), request.tallies.clone());
         match &request.loads {
             Some(loads) => self.loads.report(vm, loads),
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -19,6 +19,7 @@
 use papayatray_core::gateway::prefix_directory::CachedPrefix;
 use papayatray_core::gateway::prefix_directory::PrefixDirectory;
 use papayatray_core::gateway::rate_limits::RateLimits;
+use papayatray_core::gateway::rate_limits::RateStatement;
 use papayatray_core::gateway::rate_limits::RequestRate;
 use papayatray_core::gateway::rollout::ReleaseEligibility;
 use papayatray_core::gateway::speed::PrefillSpeed;
@@ -40,6 +41,9 @@
 /// Departures retained until the control replicas have received them; more than endpoints leave
 /// within the time of a lost connection.
 const MAX_DEPARTURES: usize = 256;
+/// Changes of rate limits retained until the control replicas have received them; more than
+/// endpoints state while no replica can be reached.
+const MAX_RATE_STATEMENTS: usize = 256;
 
 /// Endpoint selected for an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -114,6 +118,8 @@
     pauses: Pauses,
     /// Requests a second that endpoints state they take from all entries together.
     rate_limits: RateLimits,
+    /// Changes of rate limits that endpoints stated to this entry, for the other entries.
+    rate_statements: UpdateLog<RateStatement>,
     /// Endpoints that stated to this entry that they are leaving, for the control replicas.
     departures: UpdateLog<Deregistration>,
     heartbeat_interval: Millis,
@@ -133,6 +139,7 @@
             health: BTreeMap::new(),
             pauses: Pauses::default(),
             rate_limits: RateLimits::default(),
+            rate_statements: UpdateLog::new(MAX_RATE_STATEMENTS),
             departures: UpdateLog::new(MAX_DEPARTURES),
         }
     }
@@ -164,6 +171,8 @@
                 .directory
                 .deregister_incarnation(&deregistration.id, deregistration.incarnation)
             {
+                self.pauses.forget(&deregistration.id);
+                self.rate_limits.forget(&deregistration.id);
                 ids_to_close.push(deregistration.id.clone());
             }
         }
@@ -221,6 +230,45 @@
         &mut self.rate_limits
     }
 
+    /// Records that an endpoint stated a rate limit to this entry; returns whether it is a new one.
+    pub(super) fn record_rate_limit(
+        &mut self,
+        selected: &SelectedEndpoint,
+        rate: RequestRate,
+        now: Millis,
+    ) -> bool {
+        let (id, incarnation) = (&selected.id, selected.incarnation);
+        let statement = self.rate_limits.record(id, incarnation, rate, now);
+        self.publish(statement)
+    }
+
+    /// Records that an endpoint stated no rate limit in its response to a request sent at `sent_at`;
+    /// returns whether a limit ends with it.
+    pub(super) fn lift_rate_limit(
+        &mut self,
+        selected: &SelectedEndpoint,
+        sent_at: Millis,
+        now: Millis,
+    ) -> bool {
+        let (id, incarnation) = (&selected.id, selected.incarnation);
+        let statement = self.rate_limits.lift(id, incarnation, sent_at, now);
+        self.publish(statement)
+    }
+
+    fn publish(&mut self, statement: Option<RateStatement>) -> bool {
+        let is_new = statement.is_some();
+        if let Some(statement) = statement {
+            self.rate_statements.push(statement);
+        }
+        is_new
+    }
+
+    /// Returns the changes of rate limits that this entry recorded after number `number`.
+    pub(super) fn rate_statements_since(&self, number: u64) -> UpdateBatch<RateStatement> {
+        self.rate_statements
+            .batch_since(number, MAX_RATE_STATEMENTS)
+    }
+
     /// Returns the time until an endpoint may get a request from this entry, or `None` if it may
     /// now: it asked for a pause, or the entry's share of its rate limit is used up.
     fn wait_for(&self, endpoint: &Endpoint, now: Millis) -> Option<Millis> {
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -21,7 +21,6 @@
 use papayatray_core::gateway::entry_roster::EntryRoster;
 use papayatray_core::gateway::freshness;
 use papayatray_core::gateway::freshness::PlanFreshness;
-use papayatray_core::gateway::rate_limits::RequestRate;
 use papayatray_core::gateway::rollout::ReleaseEligibility;
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::gateway::table::RouteTable;
@@ -42,13 +41,13 @@
 
 mod entries;
 mod releases;
+mod statements;
 
 pub(super) use self::entries::InFlightGuard;
 pub(super) use self::releases::AttemptOutcome;
 use super::connection_pool;
 use super::connection_pool::ConnectionPool;
 use super::dialect::Dialect;
-use super::dialect::ResponseMetadata;
 use super::fleet::Fleet;
 use super::fleet::PlacementQuery;
 use super::fleet::Prompt;
@@ -256,6 +255,7 @@
         if let Some(loads) = &reply.loads {
             self.fleet().apply_loads(loads);
         }
+        self.learn_rate_limits(&reply.rate_statements.updates);
         if let Some(prefixes) = &reply.cached_prefixes {
             self.fleet().apply_cached_prefixes(&prefixes.updates, now);
         }
@@ -490,79 +490,6 @@
         });
     }
 
-    /// Records what an endpoint states about itself in the head of the response to `request`, which
-    /// was sent at `sent_at`: that it is leaving, wants no requests for a time, or how many a second
-    /// it takes.
-    pub(super) fn record_statements(
-        &self,
-        endpoint: &SelectedEndpoint,
-        metadata: &ResponseMetadata,
-        request: &str,
-        sent_at: Millis,
-    ) {
-        if metadata.is_leaving && self.fleet().record_departure(endpoint) {
-            self.connections.close_idle(&endpoint.id);
-            self.metrics.count_event("endpoint_leaving");
-            event(
-                Level::Info,
-                "endpoint_leaving",
-                &[
-                    ("endpoint", &endpoint.id),
-                    ("incarnation", &endpoint.incarnation),
-                ],
-            );
-        }
-        if let Some(pause) = metadata.pause {
-            let now = self.clock.now();
-            self.fleet().record_pause(endpoint, pause, now);
-            self.metrics.count_event("endpoint_paused");
-            event(
-                Level::Info,
-                "endpoint_paused",
-                &[("endpoint", &endpoint.id), ("pause_ms", &pause.as_u64())],
-            );
-        }
-        if let Some(rate) = metadata.rate_limit {
-            self.record_rate_limit(endpoint, rate);
-        } else if metadata.has_run && metadata.request_id.as_deref() == Some(request) {
-            // Rejections, and late responses to earlier requests, do not say that a limit ended.
-            self.lift_rate_limit(endpoint, sent_at);
-        }
-    }
-
-    fn record_rate_limit(&self, endpoint: &SelectedEndpoint, rate: RequestRate) {
-        let now = self.clock.now();
-        let mut fleet = self.fleet();
-        let limits = fleet.rate_limits();
-        if limits.record(&endpoint.id, endpoint.incarnation, rate, now) {
-            drop(fleet);
-            self.metrics.count_event("endpoint_limited");
-            event(
-                Level::Info,
-                "endpoint_limited",
-                &[
-                    ("endpoint", &endpoint.id),
-                    ("incarnation", &endpoint.incarnation),
-                    ("rate", &rate),
-                ],
-            );
-        }
-    }
-
-    fn lift_rate_limit(&self, endpoint: &SelectedEndpoint, sent_at: Millis) {
-        let mut fleet = self.fleet();
-        let limits = fleet.rate_limits();
-        if limits.lift(&endpoint.id, endpoint.incarnation, sent_at) {
-            drop(fleet);
-            self.metrics.count_event("endpoint_unlimited");
-            event(
-                Level::Info,
-                "endpoint_unlimited",
-                &[("endpoint", &endpoint.id)],
-            );
-        }
-    }
-
     pub(super) fn budget(&self) -> MutexGuard<'_, ArrivalBudget> {
         lock(&self.budget)
     }
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -58,6 +58,10 @@
     loads_received: u64,
     /// Number of the last quarantined request received.
     quarantined_received: u64,
+    /// Number of the last change of a rate limit received.
+    rate_statements_received: u64,
+    /// Number of the last change of a rate limit that the replica has acknowledged.
+    rate_statements_acknowledged: u64,
     /// Number of the last cached-prefix update that the replica has acknowledged.
     prefixes_acknowledged: u64,
     /// Number of the last departure that the replica has acknowledged.
@@ -118,6 +122,7 @@
                     sync.prefixes_acknowledged = request.cached_prefixes.last_number;
                     sync.departures_acknowledged = request.departures.last_number;
                     sync.crashes_acknowledged = request.suspects.last_number;
+                    sync.rate_statements_acknowledged = request.rate_statements.last_number;
                     self.apply_reply(&address, &mut sync, reply, sent_at);
                     sync.record_success(&address);
                 }
@@ -174,6 +179,7 @@
                 heartbeats: sync.heartbeats_received,
                 loads: sync.loads_received,
                 quarantined: sync.quarantined_received,
+                rate_statements: sync.rate_statements_received,
             },
             poll_timeout: if is_standby {
                 STANDBY_POLL_TIMEOUT
@@ -186,6 +192,7 @@
             loads,
             suspects: gateway.crash_reports_since(sync.crashes_acknowledged),
             departures,
+            rate_statements: gateway.rate_statements_since(sync.rate_statements_acknowledged),
             cached_prefixes,
         }
     }
@@ -222,11 +229,13 @@
             // A replica that restarted has lost what it acknowledged before.
             self.departures_acknowledged = 0;
             self.crashes_acknowledged = 0;
+            self.rate_statements_acknowledged = 0;
         }
         self.cursor = reply.endpoints.cursor;
         self.named_plan = reply.version;
         self.heartbeats_received = reply.endpoints.heartbeats;
         self.quarantined_received = reply.quarantined.last_number;
+        self.rate_statements_received = reply.rate_statements.last_number;
         // Another leader numbers the loads anew, so the first reply of a leader has all of them.
         self.loads_received = reply.loads.as_ref().map_or(0, |loads| loads.number);
         if let Some(prefixes) = &reply.cached_prefixes {
--- a/papayatrayd/tests/gateway/rate_limits.rs
+++ b/papayatrayd/tests/gateway/rate_limits.rs
@@ -8,6 +8,7 @@
 use papayatray_core::id::Incarnation;
 use papayatray_wire::peer::EndpointUpdates;
 use papayatray_wire::peer::SyncReply;
+use papayatray_wire::peer::SyncRequest;
 
 use crate::endpoint::FakeEndpoint;
 use crate::endpoint::Step;
@@ -19,6 +20,8 @@
 use crate::rig::Rig;
 use crate::rig::announcement;
 use crate::rig::plan;
+use crate::sync::first_request;
+use crate::sync::replica;
 
 /// Entries of the smallest deployments.
 const ENTRIES: usize = 7;
@@ -235,3 +238,22 @@
     let forwarded = limited.requests();
     assert_eq!(forwarded[0].header("papayatray-rate-limit"), None);
 }
+
+#[test]
+fn entries_that_were_not_told_keep_to_the_limit_too() {
+    let limited = limiting_endpoint("0.5");
+    let site = Site::start(&[&limited]);
+    let [told, other] = [&site.entries[0], &site.entries[1]];
+    told.request("/safe/x", "");
+    let replica = replica();
+    let report = SyncRequest {
+        rate_statements: told.gateway.rate_statements_since(0),
+        ..first_request("vm-0")
+    };
+    smol::block_on(replica.sync(report));
+    let reply = smol::block_on(replica.sync(first_request("vm-1")));
+    let now = site.clock.now();
+    other.gateway.apply_sync("replica", reply, now);
+    assert_eq!(other.request("/safe/x", "").status, 503);
+    assert_eq!(limited.requests().len(), 1);
+}
--- a/papayatrayd/tests/gateway/sync.rs
+++ b/papayatrayd/tests/gateway/sync.rs
@@ -50,6 +50,7 @@
         loads: None,
         suspects: UpdateBatch::default(),
         departures: UpdateBatch::<Deregistration>::default(),
+        rate_statements: UpdateBatch::default(),
         cached_prefixes: UpdateBatch::default(),
     }
 }
