fix(gateway): do not complete a roll-out to a release that answers several times slower

Cause: a roll-out was judged by the time to a stream's first event alone. The release was eight times slower for each event, and answered first events nearly as fast as the loaded endpoints of the other release, as its own were idle. The class: a decision on evidence that cannot show the fault.

Streams of the target took 59 to 65 ms for each event, whatever the request; those of the other release 14 to 37 ms, by load.

Fix: each stream's pace is measured over ten events, or told to be slow as soon as the time that has passed shows it. It is compared with the median of the latest paces of the same model at the same load of the endpoint; the target does not contribute to what is usual. Slow paces of the target are tested against those of the other releases over the same time (cumulative sum, as for failures). The canary takes 0.8 of the exposure bound in place of 0.3, the full traffic before the completion begins later, within the same bound. With fewer than twelve paces the completion waits until 0.4 s before the limit; evidence that is bad but not certain prevents it. The minimum excess of a slow response is half of the route's objective where that is less than 250 ms.

Ruled out on the way: the mean of paces by route, times four (a canary of 9 to 16 streams gave 2 slow ones); a moving median that follows the newest pace by a tenth (usual paces of 48 to 58 ms after a few streams).

Test: release_that_answers_several_times_slower_is_not_completed and streams_of_a_release_that_sends_events_slowly_count_against_it; before, no pace was counted and the same results had ten good responses out of ten.

--- /dev/null
+++ b/papayatray_core/src/gateway/release_evidence.rs
@@ -0,0 +1,168 @@
+//! Evidence on a release in roll-out: its responses and their pace, compared with those of the
+//! other releases over the same time.
+//!
+//! Load: a canary that gets a few requests a second from hundreds of entries, of a release that
+//! fails, or that answers everything several times slower.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::Incarnation;
+use crate::id::VmId;
+use crate::regression::FailureBaseline;
+use crate::regression::RegressionDetector;
+use crate::regression::Tally;
+
+/// Results of one release.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleaseResults {
+    /// Whole responses and first events of streams: those in time, and those that failed or were
+    /// slow.
+    pub responses: Tally,
+    /// Paces of streams: those as usual, and slow ones.
+    pub paces: Tally,
+}
+
+/// Results of one release, by the entry that counted them and its incarnation.
+pub type EntryResults = BTreeMap<(VmId, Incarnation), ReleaseResults>;
+
+/// What decided that a release has regressed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Regression {
+    /// Responses failed, or arrived late.
+    Responses,
+    /// Events of streams came slowly.
+    Pace,
+}
+
+impl Regression {
+    /// Returns the name for logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Responses => "responses",
+            Self::Pace => "pace",
+        }
+    }
+}
+
+/// Excess of the share of slow paces over that of the other releases that counts as a regression.
+const PACE_MARGIN: f64 = 0.3;
+/// Paces from which a regression to several times the usual pace is told with near certainty.
+const AMPLE_PACES: u64 = 12;
+
+/// Test of one kind of results against those of the other releases.
+#[derive(Clone, Copy, Debug, Default)]
+struct Comparison {
+    detector: RegressionDetector,
+    baseline: FailureBaseline,
+}
+
+/// Evidence on one roll-out.
+#[derive(Clone, Debug)]
+pub struct ReleaseEvidence {
+    target: String,
+    responses: Comparison,
+    paces: Comparison,
+    /// Last results from each entry, by release.
+    last_results: BTreeMap<String, EntryResults>,
+    /// Whether the pace of a stream of any release is known.
+    has_streams: bool,
+    /// Results of the target since the evidence began.
+    total: ReleaseResults,
+}
+
+impl ReleaseEvidence {
+    /// Starts without evidence on the release `target`.
+    pub fn new(target: &str) -> Self {
+        Self {
+            target: target.to_owned(),
+            responses: Comparison::default(),
+            paces: Comparison {
+                detector: RegressionDetector::new(PACE_MARGIN),
+                ..Comparison::default()
+            },
+            last_results: BTreeMap::new(),
+            has_streams: false,
+            total: ReleaseResults::default(),
+        }
+    }
+
+    /// Returns the release that the evidence is on.
+    pub fn target(&self) -> &str {
+        &self.target
+    }
+
+    /// Returns the results of the target.
+    pub const fn total(&self) -> &ReleaseResults {
+        &self.total
+    }
+
+    /// Returns whether much is known of the target; releases that send no streams give no paces.
+    pub const fn is_ample(&self) -> bool {
+        let Tally { good, bad } = self.total.paces;
+        good + bad >= AMPLE_PACES || !self.has_streams
+    }
+
+    /// Returns whether the evidence that the target has regressed is too strong to complete the
+    /// roll-out, though not strong enough to end it.
+    pub fn is_suspicious(&self) -> bool {
+        self.responses.detector.is_suspicious() || self.paces.detector.is_suspicious()
+    }
+
+    /// Adds the results counted since the last call; returns what shows that the target has
+    /// regressed, if anything does.
+    pub fn record(&mut self, results: BTreeMap<String, EntryResults>) -> Option<Regression> {
+        let mut target = ReleaseResults::default();
+        let mut others = ReleaseResults::default();
+        for (release, entries) in &results {
+            let before = self.last_results.get(release);
+            let sum = if *release == self.target {
+                &mut target
+            } else {
+                &mut others
+            };
+            for (entry, counted) in entries {
+                let earlier = before.and_then(|results| results.get(entry)).copied();
+                sum.add(&counted.since(&earlier.unwrap_or_default()));
+            }
+        }
+        // The results are cumulative. Those of an entry that stops syncing for a while are retained,
+        // or its old responses would be added again when it returns.
+        for (release, entries) in results {
+            let last = self.last_results.entry(release).or_default();
+            last.extend(entries);
+        }
+        self.total.add(&target);
+        self.has_streams |= others.paces != Tally::default();
+        let has_failed = self.responses.add(&target.responses, &others.responses);
+        let is_slow = self.paces.add(&target.paces, &others.paces);
+        match (has_failed, is_slow) {
+            (true, _) => Some(Regression::Responses),
+            (false, true) => Some(Regression::Pace),
+            (false, false) => None,
+        }
+    }
+}
+
+impl ReleaseResults {
+    const fn since(&self, earlier: &Self) -> Self {
+        Self {
+            responses: self.responses.since(&earlier.responses),
+            paces: self.paces.since(&earlier.paces),
+        }
+    }
+
+    const fn add(&mut self, other: &Self) {
+        self.responses.add(&other.responses);
+        self.paces.add(&other.paces);
+    }
+}
+
+impl Comparison {
+    fn add(&mut self, target: &Tally, others: &Tally) -> bool {
+        self.baseline.add(others);
+        self.detector.add(target, &self.baseline)
+    }
+}
--- a/papayatray_core/src/gateway/rollout.rs
+++ b/papayatray_core/src/gateway/rollout.rs
@@ -16,11 +16,19 @@
 /// Part of the time limit before the canary starts; sessions keep their release until then.
 const CANARY_START: f64 = 0.5;
 /// The canary's share of requests, as a part of the exposure bound.
-const CANARY_EXPOSURE_PART: f64 = 0.3;
+const CANARY_EXPOSURE_PART: f64 = 0.8;
 /// Part of the exposure bound that canary and full traffic together may use.
 const MAX_EXPOSURE_PART: f64 = 0.9;
 /// Time by which the completion precedes the time limit; covers the commit and a retry.
 const COMPLETION_LEAD: Millis = Millis::new(900);
+/// Time by which it does while there is little evidence on the target, which the full traffic
+/// before the completion adds to; covers the commit.
+const LATE_COMPLETION_LEAD: Millis = Millis::new(400);
+/// Time by which the roll-back of a target that cannot be completed precedes the time limit.
+const ROLL_BACK_LEAD: Millis = Millis::new(300);
+/// Time for which all traffic goes to the target before the completion; most plain requests end
+/// within it.
+const SETTLING_TIME: Millis = Millis::new(250);
 /// Minimum number of successful responses of the target before the roll-out completes.
 const MIN_GOOD_RESPONSES: u64 = 5;
 
@@ -246,21 +254,48 @@
     pub fn is_full(&self, elapsed: Millis) -> bool {
         self.share(elapsed) >= 1.0
     }
+
+    /// Returns whether all traffic has gone to the target for long enough that plain requests to
+    /// the other releases have ended: their endpoints stop at the completion.
+    pub fn has_settled(&self, elapsed: Millis) -> bool {
+        let full_time = self.limit_ms * (1.0 - self.full_from);
+        let settling_ms = (SETTLING_TIME.as_u64() as f64).min(full_time / 2.0);
+        elapsed.as_u64() as f64 >= self.limit_ms * self.full_from + settling_ms
+    }
 }
 
 /// Returns whether a running roll-out without regression should be completed now.
 ///
 /// `exposure` is the bound on the target's share of all requests; `good_responses` counts the
-/// target's successful responses; `now` is the wall-clock time.
+/// target's successful responses; `is_ample` tells whether there is much evidence on the target;
+/// `now` is the wall-clock time.
 pub fn is_completion_due(
     rollout: &Rollout,
     exposure: f64,
     good_responses: u64,
+    is_ample: bool,
     now: Millis,
 ) -> bool {
     let elapsed = now.since(rollout.started_at);
-    let is_due = elapsed + COMPLETION_LEAD >= rollout.limit;
+    let lead = if is_ample {
+        COMPLETION_LEAD
+    } else {
+        LATE_COMPLETION_LEAD
+    };
+    let is_due = elapsed + lead >= rollout.limit;
     is_due
         && good_responses >= MIN_GOOD_RESPONSES
-        && Schedule::new(rollout.limit, exposure).is_full(elapsed)
+        && Schedule::new(rollout.limit, exposure).has_settled(elapsed)
+}
+
+/// Returns whether a running roll-out that could not be completed should be rolled back now.
+///
+/// `is_suspicious` tells whether the evidence on the target kept it from completion.
+pub fn is_roll_back_due(rollout: &Rollout, is_suspicious: bool, now: Millis) -> bool {
+    let lead = if is_suspicious {
+        ROLL_BACK_LEAD
+    } else {
+        Millis::ZERO
+    };
+    now.since(rollout.started_at) + lead >= rollout.limit
 }
--- a/papayatray_core/src/regression.rs
+++ b/papayatray_core/src/regression.rs
@@ -9,8 +9,13 @@
 const MAX_BASELINE: f64 = 0.6;
 /// Excess of the failure rate over the baseline that counts as a regression.
 const REGRESSION_MARGIN: f64 = 0.2;
+/// Upper bound on the failure rate that counts as a regression.
+const MAX_REGRESSED: f64 = 0.95;
 /// Log-likelihood ratio (natural logarithm) at which a version is stopped.
 const STOP_THRESHOLD: f64 = 11.5;
+/// Log-likelihood ratio from which a regression is suspected; without one, fewer than one test in
+/// twenty is there at a given moment.
+const SUSPICION_THRESHOLD: f64 = 3.0;
 /// Weight of one request in the moving average of the baseline.
 const BASELINE_WEIGHT: f64 = 0.01;
 
@@ -33,6 +38,15 @@
         }
     }
 
+    /// Counts one request.
+    pub const fn count(&mut self, is_good: bool) {
+        if is_good {
+            self.good += 1;
+        } else {
+            self.bad += 1;
+        }
+    }
+
     /// Adds another tally to this one.
     pub const fn add(&mut self, other: &Self) {
         self.good += other.good;
@@ -67,17 +81,30 @@
 ///
 /// The sum never falls below zero, so that a long period of good results does not delay the
 /// detection of a later regression.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct RegressionDetector {
+    /// Excess of the failure rate over the baseline that counts as a regression.
+    margin: f64,
     /// Log-likelihood ratio of a regression against the baseline rate.
     sum: f64,
 }
 
+impl Default for RegressionDetector {
+    fn default() -> Self {
+        Self::new(REGRESSION_MARGIN)
+    }
+}
+
 impl RegressionDetector {
+    /// Creates a test for failure rates that exceed the baseline by `margin`, between 0 and 1.
+    pub const fn new(margin: f64) -> Self {
+        Self { margin, sum: 0.0 }
+    }
+
     /// Adds results of the version; returns whether it must be stopped.
     pub fn add(&mut self, tally: &Tally, baseline: &FailureBaseline) -> bool {
         let rate = baseline.rate();
-        let regressed_rate = rate + REGRESSION_MARGIN;
+        let regressed_rate = (rate + self.margin).min(MAX_REGRESSED);
         let per_bad = (regressed_rate / rate).ln();
         let per_good = ((1.0 - regressed_rate) / (1.0 - rate)).ln();
         let step = tally.bad as f64 * per_bad + tally.good as f64 * per_good;
@@ -85,6 +112,11 @@
         self.sum >= STOP_THRESHOLD
     }
 
+    /// Returns whether results like those added are unlikely without a regression.
+    pub const fn is_suspicious(&self) -> bool {
+        self.sum >= SUSPICION_THRESHOLD
+    }
+
     /// Restarts the test, as after an operator has resumed the version.
     pub const fn reset(&mut self) {
         self.sum = 0.0;
--- a/papayatray_core/tests/core/clock.rs
+++ b/papayatray_core/tests/core/clock.rs
@@ -59,7 +59,8 @@
         &rollout,
         0.15,
         100,
+        true,
         Clock::wall(&&source)
     ));
-    assert!(!is_completion_due(&rollout, 0.15, 100, clock.wall()));
+    assert!(!is_completion_due(&rollout, 0.15, 100, true, clock.wall()));
 }
--- a/papayatray_core/tests/core/gateway_rollout.rs
+++ b/papayatray_core/tests/core/gateway_rollout.rs
@@ -8,6 +8,7 @@
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::gateway::rollout::Schedule;
 use papayatray_core::gateway::rollout::is_completion_due;
+use papayatray_core::gateway::rollout::is_roll_back_due;
 use papayatray_core::id::ServiceId;
 use proptest::prop_assert;
 use proptest::proptest;
@@ -110,17 +111,54 @@
     let rollout = table.get(&llm()).unwrap();
     // Less than 0.9 s before the time limit of 24 s, completion is due.
     let late = STARTED_AT + Millis::new(23_200);
-    assert!(is_completion_due(rollout, EXPOSURE, 20, late));
-    assert!(!is_completion_due(rollout, EXPOSURE, 0, late));
+    assert!(is_completion_due(rollout, EXPOSURE, 20, true, late));
+    assert!(!is_completion_due(rollout, EXPOSURE, 0, true, late));
     assert!(!is_completion_due(
         rollout,
         EXPOSURE,
         20,
+        true,
         STARTED_AT + Millis::from_secs(15)
     ));
 }
 
+#[test]
+fn rollout_with_little_evidence_completes_later() {
+    let table = running_rollout();
+    let rollout = table.get(&llm()).unwrap();
+    let due = |millis| {
+        is_completion_due(
+            rollout,
+            EXPOSURE,
+            20,
+            false,
+            STARTED_AT + Millis::new(millis),
+        )
+    };
+    assert!(!due(23_200));
+    assert!(due(23_700));
+}
+
+#[test]
+fn suspicious_rollout_is_rolled_back_before_its_limit() {
+    let table = running_rollout();
+    let rollout = table.get(&llm()).unwrap();
+    let at = |millis| STARTED_AT + Millis::new(millis);
+    assert!(!is_roll_back_due(rollout, true, at(23_500)));
+    assert!(is_roll_back_due(rollout, true, at(23_700)));
+    assert!(!is_roll_back_due(rollout, false, at(23_900)));
+    assert!(is_roll_back_due(rollout, false, at(24_000)));
+}
+
 proptest! {
+    /// A completion leaves time for plain requests to the other releases, and before the limit.
+    #[test]
+    fn completion_comes_due_within_the_limit(limit in 4_000_u64..600_000, exposure in 0.05_f64..0.4) {
+        let schedule = Schedule::new(Millis::new(limit), exposure);
+        prop_assert!(schedule.has_settled(Millis::new(limit - 1)));
+        prop_assert!(!schedule.has_settled(Millis::new(limit / 2)));
+    }
+
     /// The target's share of all requests stays under any bound, for any time limit.
     #[test]
     fn exposure_stays_under_its_bound(limit in 4_000_u64..600_000, exposure in 0.05_f64..0.4) {
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -20,6 +20,7 @@
 mod gateway_rate_limits;
 mod gateway_replicas;
 mod gateway_rollout;
+mod gateway_slowness;
 mod health;
 mod lease;
 mod orders;
--- a/papayatray_wire/src/peer/gateway.rs
+++ b/papayatray_wire/src/peer/gateway.rs
@@ -9,6 +9,7 @@
 use papayatray_core::gateway::plan::Plan;
 use papayatray_core::gateway::prefix_directory::CachedPrefix;
 use papayatray_core::gateway::rate_limits::RateStatement;
+use papayatray_core::gateway::release_evidence::ReleaseResults;
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::id::DataCentre;
@@ -17,7 +18,6 @@
 use papayatray_core::id::PlanVersion;
 use papayatray_core::id::ServiceId;
 use papayatray_core::lease::EntryInfo;
-use papayatray_core::regression::Tally;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -77,8 +77,8 @@
     pub service: ServiceId,
     /// Deployed build.
     pub release: String,
-    /// Numbers of good and bad responses.
-    pub tally: Tally,
+    /// Numbers of good and bad results.
+    pub results: ReleaseResults,
 }
 
 /// Request of [`Method::Sync`](super::Method::Sync), from an entry to each control replica.
--- a/papayatrayd/src/gateway/attempt.rs
+++ b/papayatrayd/src/gateway/attempt.rs
@@ -5,12 +5,12 @@
 use http::response;
 use hyper::body::Incoming;
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::slowness::ResponseKind;
 
 use super::connection_pool::EndpointConnection;
 use super::dialect::ResponseMetadata;
 use super::fleet::Prompt;
 use super::fleet::SelectedEndpoint;
-use super::state::AttemptOutcome;
 use super::state::Gateway;
 use crate::observe::Span;
 
@@ -87,15 +87,14 @@
 
     /// Records a successful response, or the first event of a stream: in the release tally, the
     /// latency estimates and the endpoint's health.
-    pub(super) fn record_success(&mut self, latency_key: (&str, usize)) {
+    ///
+    /// `objective` is the latency objective of the route.
+    pub(super) fn record_success(&mut self, kind: ResponseKind, objective: Millis) {
         self.record_prefill_done();
         let now = self.gateway.clock.now();
         let latency = now.since(self.started_at);
-        self.gateway.record_outcome(
-            &self.endpoint,
-            AttemptOutcome::Responded(latency),
-            latency_key,
-        );
+        self.gateway
+            .record_response(&self.endpoint, latency, kind, objective);
         let mut fleet = self.gateway.fleet();
         fleet.record_latency(&self.endpoint, &self.prompt, latency);
         let health = fleet.health(&self.endpoint.service);
@@ -103,10 +102,9 @@
     }
 
     /// Records a failed response in the release tally and the endpoint's health.
-    pub(super) fn record_failure(&self, latency_key: (&str, usize)) {
+    pub(super) fn record_failure(&self) {
         let now = self.gateway.clock.now();
-        self.gateway
-            .record_outcome(&self.endpoint, AttemptOutcome::Failed, latency_key);
+        self.gateway.record_failed_response(&self.endpoint);
         let mut fleet = self.gateway.fleet();
         let health = fleet.health(&self.endpoint.service);
         health.record_failure(&self.endpoint.id, now);
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -4,6 +4,7 @@
 
 use http::HeaderValue;
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::slowness::ResponseKind;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::ModelId;
 use smol::Timer;
@@ -109,10 +110,12 @@
             .observe_response(self.request.route.kind, latency);
     }
 
-    /// Returns the route's name and the index of the model; only latencies of responses with the
-    /// same route and model are compared.
-    pub(super) fn latency_key(&self) -> (&str, usize) {
-        (&self.request.route.name, self.size_index)
+    /// Returns the kind of response that the current model gives.
+    pub(super) fn response_kind(&self) -> ResponseKind {
+        ResponseKind {
+            route: self.request.route.name.clone(),
+            size_index: self.size_index,
+        }
     }
 
     /// Returns the model that the gateway chose, or `None` if it does not choose one.
@@ -285,14 +288,14 @@
                 Ok(None)
             }
             Some(Err(ExchangeError::Lost(_))) => {
-                attempt.record_failure(self.latency_key());
+                attempt.record_failure();
                 let fingerprint = self.request.fingerprint;
                 self.gateway.detect_crash(fingerprint, &attempt.endpoint);
                 self.record_failed_run(&attempt).map(|()| None)
             }
             None => {
                 self.possible_runs += 1;
-                attempt.record_failure(self.latency_key());
+                attempt.record_failure();
                 Err(Refusal::TimedOut)
             }
         }
@@ -342,7 +345,7 @@
         }
         if metadata.request_id.as_deref() != Some(&self.request.metadata.id) {
             // The response belongs to another request and must not reach this caller.
-            attempt.record_failure(self.latency_key());
+            attempt.record_failure();
             self.record_failed_run(&attempt)?;
             return Ok(None);
         }
@@ -382,7 +385,7 @@
 
     /// Records that a started response was cut off; returns whether the request may be retried.
     pub(super) fn record_broken_response(&mut self, attempt: &InFlightAttempt) -> bool {
-        attempt.record_failure(self.latency_key());
+        attempt.record_failure();
         let fingerprint = self.request.fingerprint;
         self.gateway.detect_crash(fingerprint, &attempt.endpoint);
         self.excluded.push(attempt.endpoint.id.clone());
--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -29,7 +29,6 @@
 use papayatray_core::id::PlanVersion;
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
-use papayatray_core::regression::Tally;
 use papayatray_state::node::Node;
 use papayatray_state::storage::FolderDisk;
 use papayatray_wire::peer::Cursor;
@@ -69,9 +68,6 @@
     lease_end: Option<Millis>,
 }
 
-/// Good and bad responses of one release, by the entry that counted them and its incarnation.
-pub(super) type EntryTallies = BTreeMap<(VmId, Incarnation), Tally>;
-
 #[derive(Debug)]
 struct Inner {
     applied: Applied,
--- a/papayatrayd/src/gateway/control_state/sync.rs
+++ b/papayatrayd/src/gateway/control_state/sync.rs
@@ -5,6 +5,7 @@
 
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::plan::Plan;
+use papayatray_core::gateway::release_evidence::EntryResults;
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::id::ServiceId;
 use papayatray_wire::peer::Cursor;
@@ -15,7 +16,6 @@
 use smol::future::FutureExt;
 
 use super::ControlState;
-use super::EntryTallies;
 use super::Inner;
 use crate::observe::Level;
 use crate::observe::event;
@@ -189,13 +189,13 @@
         }
     }
 
-    /// Returns the counts of good and bad responses of a service, by release and entry.
-    pub(in crate::gateway) fn tallies(
+    /// Returns the results of a service's releases, by release and entry.
+    pub(in crate::gateway) fn results(
         &self,
         service: &ServiceId,
-    ) -> BTreeMap<String, EntryTallies> {
+    ) -> BTreeMap<String, EntryResults> {
         let inner = self.inner();
-        let mut all: BTreeMap<String, EntryTallies> = BTreeMap::new();
+        let mut all: BTreeMap<String, EntryResults> = BTreeMap::new();
         for (vm, tallies) in &inner.tallies {
             let Some(info) = inner.entries.get(vm) else {
                 continue;
@@ -203,7 +203,7 @@
             for release_tally in tallies.iter().filter(|t| t.service == *service) {
                 let entry = (vm.clone(), info.incarnation);
                 let release = all.entry(release_tally.release.clone()).or_default();
-                release.insert(entry, release_tally.tally);
+                release.insert(entry, release_tally.results);
             }
         }
         all
--- a/papayatrayd/src/gateway/controller.rs
+++ b/papayatrayd/src/gateway/controller.rs
@@ -6,19 +6,17 @@
 
 use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::release_evidence::ReleaseEvidence;
 use papayatray_core::gateway::rollout::Rollout;
 use papayatray_core::gateway::rollout::RolloutState;
 use papayatray_core::gateway::rollout::is_completion_due;
+use papayatray_core::gateway::rollout::is_roll_back_due;
 use papayatray_core::id::ServiceId;
-use papayatray_core::regression::FailureBaseline;
-use papayatray_core::regression::RegressionDetector;
-use papayatray_core::regression::Tally;
 use papayatray_state::machine::Command;
 use papayatray_wire::peer::LeaderReply;
 use smol::Timer;
 
 use super::control_state::ControlState;
-use super::control_state::EntryTallies;
 use crate::control::Control;
 use crate::observe::Level;
 use crate::observe::event;
@@ -26,19 +24,6 @@
 /// Interval at which the evidence on the running roll-outs is evaluated.
 const CHECK_INTERVAL: Millis = Millis::new(100);
 
-/// Evidence on one roll-out, from the responses that the entries have counted.
-#[derive(Debug, Default)]
-struct RolloutEvidence {
-    target: String,
-    detector: RegressionDetector,
-    /// Failure rate of the releases other than the target.
-    baseline: FailureBaseline,
-    /// Last tally from each entry, by release.
-    last_tallies: BTreeMap<String, EntryTallies>,
-    /// Good responses of the target.
-    good: u64,
-}
-
 /// Ends roll-outs according to the responses of their releases, while its replica is the leader.
 #[derive(Debug)]
 pub(super) struct RolloutController {
@@ -52,7 +37,7 @@
 impl RolloutController {
     /// Evaluates the running roll-outs until the process ends.
     pub(super) async fn run(self) {
-        let mut evidence_by_service: BTreeMap<ServiceId, RolloutEvidence> = BTreeMap::new();
+        let mut evidence_by_service: BTreeMap<ServiceId, ReleaseEvidence> = BTreeMap::new();
         loop {
             Timer::after(CHECK_INTERVAL.to_duration()).await;
             self.state.expire_entries();
@@ -66,7 +51,9 @@
                     evidence_by_service.remove(service);
                     continue;
                 }
-                let evidence = evidence_by_service.entry(service.clone()).or_default();
+                let evidence = evidence_by_service
+                    .entry(service.clone())
+                    .or_insert_with(|| ReleaseEvidence::new(&rollout.target));
                 if let Some(outcome) = self.decide(service, rollout, evidence) {
                     self.end_rollout(service, rollout, outcome, evidence).await;
                 }
@@ -79,27 +66,35 @@
         &self,
         service: &ServiceId,
         rollout: &Rollout,
-        evidence: &mut RolloutEvidence,
+        evidence: &mut ReleaseEvidence,
     ) -> Option<RolloutState> {
-        if evidence.target != rollout.target {
-            *evidence = RolloutEvidence {
-                target: rollout.target.clone(),
-                ..RolloutEvidence::default()
-            };
+        if evidence.target() != rollout.target {
+            *evidence = ReleaseEvidence::new(&rollout.target);
         }
-        if evidence.record(self.state.tallies(service)) {
+        if let Some(regression) = evidence.record(self.state.results(service)) {
+            event(
+                Level::Warn,
+                "release_regressed",
+                &[
+                    ("service", service),
+                    ("target", &rollout.target),
+                    ("by", &regression.as_str()),
+                ],
+            );
             return Some(RolloutState::RolledBack);
         }
         let now = self.clock.wall();
         let (target_count, other_count) = self.state.accepting_counts(service, &rollout.target);
         let has_capacity = target_count > 0 && target_count * 2 >= other_count;
+        let good = evidence.total().responses.good;
         let can_complete =
-            is_completion_due(rollout, self.max_exposure, evidence.good, now) && has_capacity;
+            is_completion_due(rollout, self.max_exposure, good, evidence.is_ample(), now)
+                && has_capacity
+                && !evidence.is_suspicious();
         if can_complete {
             return Some(RolloutState::Completed);
         }
-        // A roll-out that could not be completed within its time limit is rolled back.
-        (now.since(rollout.started_at) >= rollout.limit).then_some(RolloutState::RolledBack)
+        is_roll_back_due(rollout, evidence.is_suspicious(), now).then_some(RolloutState::RolledBack)
     }
 
     async fn end_rollout(
@@ -107,8 +102,9 @@
         service: &ServiceId,
         rollout: &Rollout,
         state: RolloutState,
-        evidence: &RolloutEvidence,
+        evidence: &ReleaseEvidence,
     ) {
+        let total = evidence.total();
         event(
             Level::Info,
             "rollout_ended",
@@ -116,7 +112,10 @@
                 ("service", service),
                 ("target", &rollout.target),
                 ("state", &state.as_str()),
-                ("good", &evidence.good),
+                ("good", &total.responses.good),
+                ("bad", &total.responses.bad),
+                ("paces_good", &total.paces.good),
+                ("paces_bad", &total.paces.bad),
             ],
         );
         let command = Command::EndRollout {
@@ -133,32 +132,3 @@
         }
     }
 }
-
-impl RolloutEvidence {
-    /// Adds the responses counted since the last call; returns whether the target has failed.
-    fn record(&mut self, tallies: BTreeMap<String, EntryTallies>) -> bool {
-        let mut target_delta = Tally::default();
-        for (release, entries) in &tallies {
-            let before = self.last_tallies.get(release);
-            for (entry, tally) in entries {
-                let earlier = before.and_then(|tallies| tallies.get(entry)).copied();
-                let delta = tally.since(&earlier.unwrap_or_default());
-                if *release == self.target {
-                    target_delta.add(&delta);
-                } else {
-                    self.baseline.add(&delta);
-                }
-            }
-        }
-        // The tallies are cumulative. That of an entry which stops syncing for a while is retained,
-        // or its old responses would be added again when it returns.
-        for (release, entries) in tallies {
-            self.last_tallies
-                .entry(release)
-                .or_default()
-                .extend(entries);
-        }
-        self.good += target_delta.good;
-        self.detector.add(&target_delta, &self.baseline)
-    }
-}
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -309,6 +309,12 @@
         }
     }
 
+    /// Returns the number of requests at an endpoint, those of the other entries as last announced.
+    pub(super) fn running(&self, id: &EndpointId) -> u32 {
+        let own = self.local_load.get(id).map_or(0, |load| load.running);
+        own + self.remote_load(id).running
+    }
+
     /// Records the prefixes that other entries' requests cached at endpoints.
     pub(super) fn apply_cached_prefixes(&mut self, prefixes: &[CachedPrefix], now: Millis) {
         for prefix in prefixes {
--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -267,7 +267,7 @@
     };
     match reading.or(timeout).await {
         None => {
-            started.attempt.record_failure(attempts.latency_key());
+            started.attempt.record_failure();
             Err(Refusal::TimedOut)
         }
         Some(Err(error)) => {
@@ -288,10 +288,12 @@
         Some(Ok(body)) => {
             let is_failure = started.head.status.is_server_error();
             if is_failure {
-                started.attempt.record_failure(attempts.latency_key());
+                started.attempt.record_failure();
                 attempts.excluded.push(started.attempt.endpoint.id.clone());
             } else {
-                started.attempt.record_success(attempts.latency_key());
+                started
+                    .attempt
+                    .record_success(attempts.response_kind(), attempts.request.route.objective);
             }
             let response = checked_response(&started, body);
             started.return_connection();
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -21,8 +21,11 @@
 use papayatray_core::gateway::entry_roster::EntryRoster;
 use papayatray_core::gateway::freshness;
 use papayatray_core::gateway::freshness::PlanFreshness;
+use papayatray_core::gateway::release_evidence::ReleaseResults;
 use papayatray_core::gateway::rollout::ReleaseEligibility;
 use papayatray_core::gateway::rollout::RolloutTable;
+use papayatray_core::gateway::slowness::UsualLatencies;
+use papayatray_core::gateway::slowness::UsualPaces;
 use papayatray_core::gateway::table::RouteTable;
 use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::gateway::updates::UpdateLog;
@@ -32,7 +35,6 @@
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
-use papayatray_core::regression::Tally;
 use papayatray_core::suspicion::EndpointIncarnation;
 use papayatray_wire::peer::Deregistration;
 use papayatray_wire::peer::SyncReply;
@@ -44,7 +46,6 @@
 mod statements;
 
 pub(super) use self::entries::InFlightGuard;
-pub(super) use self::releases::AttemptOutcome;
 use super::connection_pool;
 use super::connection_pool::ConnectionPool;
 use super::dialect::Dialect;
@@ -164,10 +165,12 @@
     roster: Mutex<EntryRoster>,
     /// Retry budget of each service.
     budget: Mutex<ArrivalBudget>,
-    /// Good and bad responses since the process started, by service and release.
-    tallies: Mutex<BTreeMap<(ServiceId, String), Tally>>,
-    /// Moving average of the latency in milliseconds, by route and index of the model.
-    latencies: Mutex<BTreeMap<(String, usize), f64>>,
+    /// Results since the process started, by service and release.
+    tallies: Mutex<BTreeMap<(ServiceId, String), ReleaseResults>>,
+    /// Usual times to a whole response, or to the first event of a stream.
+    latencies: Mutex<UsualLatencies>,
+    /// Usual times for each event of a stream.
+    paces: Mutex<UsualPaces>,
     /// Requests suspected of crashing endpoints.
     crashes: Mutex<CrashTable>,
     /// Crashes that this entry has seen, for the control replicas.
@@ -210,6 +213,7 @@
             budget: Mutex::new(ArrivalBudget::new(bounds.arrivals)),
             tallies: Mutex::default(),
             latencies: Mutex::default(),
+            paces: Mutex::default(),
             crashes: Mutex::default(),
             crash_reports: Mutex::new(UpdateLog::new(MAX_CRASH_REPORTS)),
             shutdown_stage: AtomicU8::new(ShutdownStage::Serving as u8),
--- a/papayatrayd/src/gateway/state/releases.rs
+++ b/papayatrayd/src/gateway/state/releases.rs
@@ -1,74 +1,122 @@
 //! Counts of good and bad responses by release, the evidence for roll-outs.
 
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::release_evidence::ReleaseResults;
+use papayatray_core::gateway::rollout::RolloutState;
+use papayatray_core::gateway::slowness::PaceKind;
+use papayatray_core::gateway::slowness::PaceMeter;
+use papayatray_core::gateway::slowness::ResponseKind;
 use papayatray_wire::peer::ReleaseTally;
 
 use super::Gateway;
 use super::lock;
 use crate::gateway::fleet::SelectedEndpoint;
+use crate::observe::Level;
+use crate::observe::event;
 
-/// Weight of the newest response in the moving average of latencies.
-const LATENCY_WEIGHT: f64 = 0.05;
-/// Multiple of the average latency above which a response counts as slow.
-const SLOW_FACTOR: f64 = 4.0;
-/// Minimum excess over the average latency, in milliseconds, of a slow response.
-const MIN_SLOW_EXCESS_MS: f64 = 250.0;
-
-/// Outcome of an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(in crate::gateway) enum AttemptOutcome {
-    /// The whole response, or the first event of a stream, arrived after this time.
-    Responded(Millis),
-    /// The endpoint failed.
-    Failed,
-}
+/// Largest minimum excess over the average latency, in milliseconds, of a slow response.
+const MAX_SLOW_EXCESS_MS: f64 = 250.0;
+/// Part of the route's latency objective that is the minimum excess of a slow response.
+const SLOW_EXCESS_PART: f64 = 0.5;
 
 impl Gateway {
-    /// Counts the outcome of an attempt for its release.
+    /// Counts a whole response, or the first event of a stream, for its release; a slow one counts
+    /// as bad.
     ///
-    /// A slow response counts as bad. It is compared with the average latency of its `latency_key`,
-    /// the route and the index of the model.
-    pub(in crate::gateway) fn record_outcome(
+    /// `objective` is the latency objective of the route.
+    pub(in crate::gateway) fn record_response(
         &self,
         endpoint: &SelectedEndpoint,
-        outcome: AttemptOutcome,
-        latency_key: (&str, usize),
+        latency: Millis,
+        kind: ResponseKind,
+        objective: Millis,
     ) {
-        let is_good = match outcome {
-            AttemptOutcome::Failed => false,
-            AttemptOutcome::Responded(latency) => !self.is_slow(latency, latency_key),
+        let latency = latency.as_u64() as f64;
+        let excess = objective.as_u64() as f64 * SLOW_EXCESS_PART;
+        let mut latencies = lock(&self.latencies);
+        let is_slow = latencies.is_slow(&kind, latency, excess.min(MAX_SLOW_EXCESS_MS));
+        if !self.is_in_rollout(endpoint) {
+            latencies.add(kind, latency);
+        }
+        drop(latencies);
+        self.count_result(endpoint, |results| results.responses.count(!is_slow));
+    }
+
+    /// Counts a failed response for its release.
+    pub(in crate::gateway) fn record_failed_response(&self, endpoint: &SelectedEndpoint) {
+        self.count_result(endpoint, |results| results.responses.count(false));
+    }
+
+    /// Counts the pace of a stream from the model at `size_index` for its release, once it is known.
+    pub(in crate::gateway) fn record_event(
+        &self,
+        endpoint: &SelectedEndpoint,
+        meter: &mut PaceMeter,
+        size_index: usize,
+    ) {
+        if meter.is_measured() {
+            return;
+        }
+        let running = self.fleet().running(&endpoint.id);
+        let kind = PaceKind::new(endpoint.service.clone(), size_index, running);
+        let mut paces = lock(&self.paces);
+        let usual = paces.usual(&kind);
+        let Some(pace) = meter.record_event(usual, self.clock.now()) else {
+            return;
         };
+        let is_in_rollout = self.is_in_rollout(endpoint);
+        if !is_in_rollout {
+            paces.add(kind, pace.interval_ms);
+        }
+        drop(paces);
+        let Some(is_slow) = pace.is_slow else {
+            return;
+        };
+        self.count_result(endpoint, |results| results.paces.count(!is_slow));
+        if is_in_rollout {
+            event(
+                Level::Info,
+                "canary_pace",
+                &[
+                    ("endpoint", &endpoint.id),
+                    ("release", &endpoint.release),
+                    ("size", &size_index),
+                    ("running", &running),
+                    ("interval_ms", &pace.interval_ms.round()),
+                    ("usual_ms", &usual.unwrap_or_default().round()),
+                    ("slow", &is_slow),
+                ],
+            );
+        }
+    }
+
+    fn count_result<F>(&self, endpoint: &SelectedEndpoint, count: F)
+    where
+        F: FnOnce(&mut ReleaseResults),
+    {
         let mut tallies = lock(&self.tallies);
         let key = (endpoint.service.clone(), endpoint.release.clone());
-        let tally = tallies.entry(key).or_default();
-        if is_good {
-            tally.good += 1;
-        } else {
-            tally.bad += 1;
-        }
+        count(tallies.entry(key).or_default());
     }
 
-    fn is_slow(&self, latency: Millis, (route, size_index): (&str, usize)) -> bool {
-        let mut latencies = lock(&self.latencies);
-        let latency = latency.as_u64() as f64;
-        let average = latencies
-            .entry((route.to_owned(), size_index))
-            .or_insert(latency);
-        let is_slow = latency > *average * SLOW_FACTOR && latency > *average + MIN_SLOW_EXCESS_MS;
-        // Capped, so that a slow release does not raise the average latency to its own.
-        let capped = latency.min(*average * 2.0 + 1.0);
-        *average += (capped - *average) * LATENCY_WEIGHT;
-        is_slow
+    /// Returns whether an endpoint runs the target of a running roll-out.
+    fn is_in_rollout(&self, endpoint: &SelectedEndpoint) -> bool {
+        let rollouts = self.rollouts();
+        let rollout = rollouts.get(&endpoint.service);
+        rollout.is_some_and(|rollout| {
+            rollout.state == RolloutState::Running && rollout.target == endpoint.release
+        })
     }
 
-    pub(in crate::gateway) fn tallies(&self) -> Vec<ReleaseTally> {
+    /// Returns the results of each release since the process started.
+    pub fn tallies(&self) -> Vec<ReleaseTally> {
         let tallies = lock(&self.tallies);
         let all = tallies
             .iter()
-            .map(|((service, release), tally)| ReleaseTally {
+            .map(|((service, release), results)| ReleaseTally {
                 service: service.clone(),
                 release: release.clone(),
-                tally: *tally,
+                results: *results,
             });
         all.collect()
     }
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -13,6 +13,7 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::sizing;
 use papayatray_core::gateway::sizing::Progress;
+use papayatray_core::gateway::slowness::PaceMeter;
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::future::yield_now;
@@ -62,6 +63,7 @@
     reader: EventReader,
     /// Time of the last event, or of the response head before the first one.
     last_progress: Millis,
+    pace: PaceMeter,
 }
 
 /// Stream to a caller, fed by one endpoint after another.
@@ -146,7 +148,7 @@
                 stream
                     .started
                     .attempt
-                    .record_success(attempts.latency_key());
+                    .record_success(attempts.response_kind(), attempts.request.route.objective);
                 attempts.record_response_time();
                 return Ok(start_relay(attempts, stream, first_event, in_flight));
             }
@@ -344,6 +346,7 @@
             last_progress: started.attempt.gateway.clock.now(),
             started,
             reader: EventReader::default(),
+            pace: PaceMeter::default(),
         }
     }
 
@@ -356,6 +359,11 @@
                     continue;
                 }
                 self.last_progress = attempts.gateway.clock.now();
+                attempts.gateway.record_event(
+                    &self.started.attempt.endpoint,
+                    &mut self.pace,
+                    attempts.size_index,
+                );
                 return StreamItem::Event(event);
             }
             let now = attempts.gateway.clock.now();
--- a/papayatrayd/tests/gateway/streams.rs
+++ b/papayatrayd/tests/gateway/streams.rs
@@ -7,7 +7,11 @@
 use std::time::Instant;
 
 use papayatray_core::clock::Millis;
+use papayatray_core::directory::Endpoint;
 use papayatray_core::gateway::arrivals::ArrivalBound;
+use papayatray_wire::peer::Deregistration;
+use papayatray_wire::peer::EndpointUpdates;
+use papayatray_wire::peer::SyncReply;
 use papayatrayd::observe::SystemClock;
 
 use crate::endpoint::FakeEndpoint;
@@ -19,6 +23,7 @@
 use crate::endpoint::stream_head;
 use crate::rig::ReceivedResponse;
 use crate::rig::Rig;
+use crate::rig::announcement;
 use crate::rig::plan;
 
 /// Returns the steps of a complete stream of the events `from..=to`.
@@ -260,3 +265,52 @@
         }
     });
 }
+
+/// Returns an endpoint that streams twelve events with this pause before each.
+fn pacing_endpoint(pause: Duration) -> FakeEndpoint {
+    FakeEndpoint::start(move |_, request| {
+        let mut steps = vec![Step::Send(stream_head(request, 90))];
+        for id in 1..=12 {
+            steps.extend([Step::Wait(pause), Step::Send(event(id))]);
+        }
+        steps.push(Step::Send(end()));
+        steps
+    })
+}
+
+#[test]
+fn streams_of_a_release_that_sends_events_slowly_count_against_it() {
+    let [usual, slow] = [Duration::from_millis(1), Duration::from_millis(150)].map(pacing_endpoint);
+    let rig = Rig::without_plan();
+    rig.apply_update(plan(), &[&usual]);
+    for _ in 0..5 {
+        assert_eq!(rig.request("/stream/x", "").status, 200);
+    }
+    let replacement = Endpoint {
+        release: "v2".to_owned(),
+        ..announcement(1, &slow)
+    };
+    let departed = Deregistration {
+        id: announcement(0, &usual).id,
+        incarnation: None,
+    };
+    let update = SyncReply {
+        endpoints: EndpointUpdates {
+            changed: vec![replacement],
+            deregistered: vec![departed],
+            ..EndpointUpdates::default()
+        },
+        ..SyncReply::default()
+    };
+    rig.gateway
+        .apply_sync("control", update, rig.gateway.clock.now());
+    for _ in 0..3 {
+        assert_eq!(rig.request("/stream/x", "").status, 200);
+    }
+    let results = rig.gateway.tallies();
+    let paces: Vec<_> = results
+        .iter()
+        .map(|tally| (tally.release.as_str(), tally.results.paces.bad))
+        .collect();
+    assert_eq!(paces, [("v1", 0), ("v2", 3)]);
+}
