fix(gateway): share bounds of the deployment over entries that a restarted replica has not listed yet

What callers saw: nothing yet; found by looking for the cause of the rate limits elsewhere.

Cause: retry budget, connections for each endpoint and the endpoints compared were divided by the length of the longest list of entries. The list of a restarted control replica fills as entries sync; after a restart of all replicas each entry divides by a few entries and takes a many times larger part. The class: a bound on the whole deployment, divided by what one process happens to see.

Fix: they are divided by the roster that the rate limits use, on which entries stay for 10 s after they left the lists.

--- a/papayatrayd/src/gateway/state/entries.rs
+++ b/papayatrayd/src/gateway/state/entries.rs
@@ -111,12 +111,10 @@
         entries
     }
 
-    /// Returns the length of the longest list of entries, at least 1; it includes entries that are
-    /// shutting down, and outdated lists.
+    /// Returns the number of entries that share the bounds of the deployment, at least 1; it
+    /// includes those that are shutting down or were listed a short time ago.
     pub(super) fn entry_count(&self) -> usize {
-        let entry_lists = lock(&self.entry_lists);
-        let counts = entry_lists.values().map(|received| received.list.len());
-        counts.max().unwrap_or(1).max(1)
+        lock(&self.roster).len().max(1)
     }
 }
 
--- a/papayatrayd/tests/gateway/relay.rs
+++ b/papayatrayd/tests/gateway/relay.rs
@@ -1,13 +1,17 @@
 //! Buffered responses: forwarding, retries, and what a refusal guarantees.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use papayatray_core::clock::Millis;
+use papayatray_core::gateway::arrivals::ArrivalBound;
 use papayatray_core::gateway::crashes::Suspect;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Fingerprint;
 use papayatray_core::id::Incarnation;
 use papayatray_core::suspicion::EndpointIncarnation;
+use papayatrayd::observe::SystemClock;
 
 use crate::endpoint::FakeEndpoint;
 use crate::endpoint::Step;
@@ -328,3 +332,25 @@
     first.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
     Fingerprint(u128::from_le_bytes(first))
 }
+
+#[test]
+fn retry_budget_does_not_grow_while_a_restarted_replica_lists_few_entries() {
+    let failing = [0, 1, 2].map(|_| {
+        FakeEndpoint::start(|_, request| vec![Step::Send(response(request, "500 Broken", ""))])
+    });
+    // One retry for each of eight entries, as a part of the bound is left unused.
+    let slack_only = ArrivalBound {
+        ratio: 0.0,
+        slack: 16.0,
+        window: Millis::from_secs(600),
+    };
+    let rig = Rig::with_arrivals(Arc::new(SystemClock::default()), slack_only);
+    rig.apply_update(plan(), &[&failing[0], &failing[1], &failing[2]]);
+    rig.apply_entries((0..8).map(|index| format!("vm-{index}")));
+    rig.apply_entries(["vm-1".to_owned()]);
+    for _ in 0..8 {
+        assert_eq!(rig.request("/safe/x", "").status, 500);
+    }
+    let received = failing.iter().map(|fake| fake.requests().len());
+    assert_eq!(received.sum::<usize>(), 9);
+}
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -18,6 +18,7 @@
 use papayatray_core::directory::Offer;
 use papayatray_core::gateway::arrivals::ArrivalBound;
 use papayatray_core::gateway::crashes::Suspect;
+use papayatray_core::gateway::entry_register::EntryUpdates;
 use papayatray_core::gateway::plan::ApiKey;
 use papayatray_core::gateway::plan::Organisation;
 use papayatray_core::gateway::plan::Plan;
@@ -34,6 +35,7 @@
 use papayatray_core::id::PlanVersion;
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
+use papayatray_core::lease::EntryInfo;
 use papayatray_wire::peer::EndpointUpdates;
 use papayatray_wire::peer::SyncReply;
 use papayatrayd::gateway::Bounds;
@@ -276,6 +278,28 @@
         self.gateway.apply_sync("control", reply, now);
     }
 
+    /// Applies the list of entries of a control replica that has just started.
+    pub fn apply_entries<I>(&self, names: I)
+    where
+        I: IntoIterator<Item = String>,
+    {
+        let changed = names.into_iter().map(|name| EntryInfo {
+            vm: VmId::new(name).unwrap(),
+            ..self.gateway.info()
+        });
+        let reply = SyncReply {
+            entries: EntryUpdates {
+                number: 1,
+                is_complete: true,
+                changed: changed.collect(),
+                removed: Vec::new(),
+            },
+            ..SyncReply::default()
+        };
+        let now = self.gateway.clock.now();
+        self.gateway.apply_sync("control", reply, now);
+    }
+
     /// Applies an update with the requests that other entries suspect of crashing endpoints.
     pub fn apply_suspects(&self, suspects: Vec<Suspect>) {
         let reply = SyncReply {
