refactor(gateway): name time slots, and put what endpoints state in a module of its own

Slots are already the requests that an endpoint runs at once. The wait until a time slot and the age of one were the same lines twice. No change of behaviour.

--- a/papayatray_core/src/gateway/rate_limits.rs
+++ b/papayatray_core/src/gateway/rate_limits.rs
@@ -70,21 +70,22 @@
     }
 }
 
-/// Time as it is divided into slots of a limit, of which each belongs to one entry.
+/// Time slots of one endpoint's limit; each belongs to one entry, which may send one request in it.
 ///
-/// The slots of an endpoint are as many a second as its limit allows requests. They are numbered
-/// from the Unix epoch of the leader's clock, and go round the entries, so that no entry has to
-/// ask another. An unused slot lapses after [`SLOT_LIFETIME`].
+/// There are as many a second as the limit allows requests. They are numbered from the Unix epoch of
+/// the leader's clock and go round the entries, so that no entry has to ask another. An unused one
+/// lapses after [`SLOT_LIFETIME`]. They have nothing to do with the slots of an endpoint, which are
+/// the requests that it runs concurrently.
 #[derive(Clone, Copy, Debug)]
-struct Slots {
+struct TimeSlots {
     rate: RequestRate,
     share: EntryShare,
-    /// Number of the first slot that belongs to the first entry; spreads the slots of endpoints
-    /// with equal limits over the entries.
+    /// Added to the number of a slot before it goes round the entries; spreads the slots of
+    /// endpoints with equal limits over them.
     offset: u64,
 }
 
-impl Slots {
+impl TimeSlots {
     fn new(endpoint: &EndpointId, rate: RequestRate, share: EntryShare) -> Self {
         let digest = digest::short(&blake3::hash(endpoint.as_str().as_bytes()));
         Self {
@@ -135,7 +136,7 @@
     rate: Option<RequestRate>,
     /// Time of the last response that stated it.
     stated_at: Millis,
-    slots: Slots,
+    slots: TimeSlots,
     /// Number of the first slot that this entry has not used.
     unused_slot: u64,
 }
@@ -220,7 +221,7 @@
         } else if rate.is_none() {
             return false;
         }
-        let slots = Slots::new(endpoint, rate.unwrap_or(MIN_RATE), self.share);
+        let slots = TimeSlots::new(endpoint, rate.unwrap_or(MIN_RATE), self.share);
         let limit = Limit {
             incarnation,
             rate,
@@ -272,26 +273,35 @@
         incarnation: Incarnation,
         now: Millis,
     ) -> Option<Millis> {
-        let limit = self.limit(endpoint, incarnation)?;
-        limit.rate?;
         let wall = now + self.wall_offset;
-        let slot = limit.next_slot(wall);
-        (slot > limit.slots.at(wall)).then(|| limit.slots.start(slot).since(wall))
+        let start = self.slot_start(endpoint, incarnation, wall)?;
+        (start > wall).then(|| start.since(wall))
     }
 
-    /// Returns how long ago the slot began in which this entry may send an endpoint a request, or
-    /// `None` without a limit or such a slot.
+    /// Returns how long ago the time slot began in which this entry may send an endpoint a request,
+    /// or `None` without a limit or such a time slot.
     pub fn slot_age(
         &self,
         endpoint: &EndpointId,
         incarnation: Incarnation,
         now: Millis,
+    ) -> Option<Millis> {
+        let wall = now + self.wall_offset;
+        let start = self.slot_start(endpoint, incarnation, wall)?;
+        (start <= wall).then(|| wall.since(start))
+    }
+
+    /// Returns the beginning of the next time slot that this entry may use, if the endpoint has a
+    /// limit.
+    fn slot_start(
+        &self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        wall: Millis,
     ) -> Option<Millis> {
         let limit = self.limit(endpoint, incarnation)?;
         limit.rate?;
-        let wall = now + self.wall_offset;
-        let slot = limit.next_slot(wall);
-        (slot <= limit.slots.at(wall)).then(|| wall.since(limit.slots.start(slot)))
+        Some(limit.slots.start(limit.next_slot(wall)))
     }
 
     /// Uses the slot that lets this entry send a request now, if the endpoint has a limit.
@@ -327,7 +337,7 @@
     fn restart_slots(&mut self, now: Millis) {
         let wall = now + self.wall_offset;
         for (endpoint, limit) in &mut self.limits {
-            limit.slots = Slots::new(endpoint, limit.slots.rate, self.share);
+            limit.slots = TimeSlots::new(endpoint, limit.slots.rate, self.share);
             limit.unused_slot = limit.slots.at(wall) + 1;
         }
     }
--- a/papayatray_core/tests/core/gateway_rate_limits.rs
+++ b/papayatray_core/tests/core/gateway_rate_limits.rs
@@ -5,6 +5,7 @@
 use papayatray_core::gateway::entry_roster::EntryShare;
 use papayatray_core::gateway::rate_limits::RateLimits;
 use papayatray_core::gateway::rate_limits::RequestRate;
+use papayatray_core::gateway::slot_reservation;
 use papayatray_core::gateway::slot_reservation::SlotReservation;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Incarnation;
@@ -254,7 +255,7 @@
             continue;
         };
         let is_light = reservation.is_light(&service, work_ms);
-        if leaves_new_slots && is_light && SlotReservation::is_reserved(age) {
+        if leaves_new_slots && is_light && slot_reservation::is_reserved(age) {
             continue;
         }
         limits.take(&endpoint(), FIRST, site.now);
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -22,6 +22,7 @@
 use papayatray_core::gateway::rate_limits::RateStatement;
 use papayatray_core::gateway::rate_limits::RequestRate;
 use papayatray_core::gateway::rollout::ReleaseEligibility;
+use papayatray_core::gateway::slot_reservation;
 use papayatray_core::gateway::slot_reservation::SlotReservation;
 use papayatray_core::gateway::speed::PrefillSpeed;
 use papayatray_core::gateway::updates::UpdateBatch;
@@ -34,6 +35,8 @@
 use papayatray_wire::peer::Deregistration;
 use papayatray_wire::peer::EndpointUpdates;
 
+mod statements;
+
 /// Heartbeat intervals without a heartbeat after which an endpoint counts as silent.
 const MAX_MISSED_HEARTBEATS: u64 = 4;
 /// Cached-prefix updates retained until the control replicas have received them; covers some
@@ -119,7 +122,7 @@
     pauses: Pauses,
     /// Requests a second that endpoints state they take from all entries together.
     rate_limits: RateLimits,
-    /// Which requests may use the slots of rate-limited endpoints.
+    /// Which requests may use the time slots of rate-limited endpoints.
     reservation: SlotReservation,
     /// Changes of rate limits that endpoints stated to this entry, for the other entries.
     rate_statements: UpdateLog<RateStatement>,
@@ -195,104 +198,6 @@
         self.rate_limits.forget(id);
     }
 
-    /// Records that an endpoint stated in a response that it is leaving, which holds for the rest
-    /// of its incarnation.
-    ///
-    /// Returns whether it accepted requests until now.
-    pub(super) fn record_departure(&mut self, selected: &SelectedEndpoint) -> bool {
-        let departure = Deregistration {
-            id: selected.id.clone(),
-            incarnation: Some(selected.incarnation),
-        };
-        let was_accepting = self
-            .directory
-            .deregister_incarnation(&departure.id, departure.incarnation);
-        if was_accepting {
-            self.departures.push(departure);
-        }
-        was_accepting
-    }
-
-    /// Returns the departures that this entry recorded after number `number`.
-    pub(super) fn departures_since(&self, number: u64) -> UpdateBatch<Deregistration> {
-        self.departures.batch_since(number, MAX_DEPARTURES)
-    }
-
-    /// Records that an endpoint wants no requests from this entry for a time.
-    pub(super) fn record_pause(
-        &mut self,
-        selected: &SelectedEndpoint,
-        duration: Millis,
-        now: Millis,
-    ) {
-        self.pauses
-            .record(&selected.id, selected.incarnation, duration, now);
-    }
-
-    /// Returns the rate limits that endpoints have stated.
-    pub(super) const fn rate_limits(&mut self) -> &mut RateLimits {
-        &mut self.rate_limits
-    }
-
-    /// Records that an endpoint stated a rate limit to this entry; returns whether it is a new one.
-    pub(super) fn record_rate_limit(
-        &mut self,
-        selected: &SelectedEndpoint,
-        rate: RequestRate,
-        now: Millis,
-    ) -> bool {
-        let (id, incarnation) = (&selected.id, selected.incarnation);
-        let statement = self.rate_limits.record(id, incarnation, rate, now);
-        self.publish(statement)
-    }
-
-    /// Records that an endpoint stated no rate limit in its response to a request sent at `sent_at`;
-    /// returns whether a limit ends with it.
-    pub(super) fn lift_rate_limit(
-        &mut self,
-        selected: &SelectedEndpoint,
-        sent_at: Millis,
-        now: Millis,
-    ) -> bool {
-        let (id, incarnation) = (&selected.id, selected.incarnation);
-        let statement = self.rate_limits.lift(id, incarnation, sent_at, now);
-        self.publish(statement)
-    }
-
-    fn publish(&mut self, statement: Option<RateStatement>) -> bool {
-        let is_new = statement.is_some();
-        if let Some(statement) = statement {
-            self.rate_statements.push(statement);
-        }
-        is_new
-    }
-
-    /// Returns the changes of rate limits that this entry recorded after number `number`.
-    pub(super) fn rate_statements_since(&self, number: u64) -> UpdateBatch<RateStatement> {
-        self.rate_statements
-            .batch_since(number, MAX_RATE_STATEMENTS)
-    }
-
-    /// Returns the time until an endpoint may get a request from this entry, or `None` if it may
-    /// now: it asked for a pause, or the entry's share of its rate limit is used up.
-    fn wait_for(&self, endpoint: &Endpoint, now: Millis) -> Option<Millis> {
-        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
-        let pause = self.pauses.remaining(id, incarnation, now);
-        pause.max(self.rate_limits.remaining(id, incarnation, now))
-    }
-
-    /// Returns the time until the first of a service's endpoints may get requests again, or `None`
-    /// unless all that accept requests are paused or at their rate limits.
-    pub(super) fn shortest_wait(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
-        let accepting = self.directory.accepting().filter(|e| e.runs(service));
-        let mut shortest = None;
-        for endpoint in accepting {
-            let remaining = self.wait_for(endpoint, now)?;
-            shortest = Some(shortest.map_or(remaining, |other: Millis| other.min(remaining)));
-        }
-        shortest
-    }
-
     /// Applies changes of the load that all entries' requests cause.
     pub(super) fn apply_loads(&mut self, updates: &WorkUpdates) {
         if updates.is_complete {
@@ -350,7 +255,7 @@
 
     /// Selects an endpoint, of a preferred release if one has capacity, else of a fallback one.
     ///
-    /// A request with little work leaves new slots of rate-limited endpoints to others, unless there
+    /// A request with little work leaves new time slots of rate-limited endpoints to others, unless there
     /// is no other endpoint.
     pub(super) fn pick(&self, query: &PlacementQuery<'_>, now: Millis) -> Option<SelectedEndpoint> {
         let is_light = self
@@ -358,7 +263,7 @@
             .is_light(query.service, self.work_ms(query));
         let is_unreserved = |e: &Endpoint| {
             let age = self.rate_limits.slot_age(&e.id, e.incarnation, now);
-            !age.is_some_and(SlotReservation::is_reserved)
+            !age.is_some_and(slot_reservation::is_reserved)
         };
         if is_light && let Some(selected) = self.pick_among(query, &is_unreserved, now) {
             return Some(selected);
