fix(gateway): keep a stated rate limit when a later statement cannot be read

What callers saw: nothing; found in reading the change. A statement that is not a number counted as none, which ends a limit. It leaves the limit as it was now.

--- a/papayatrayd/src/gateway/dialect.rs
+++ b/papayatrayd/src/gateway/dialect.rs
@@ -84,6 +84,18 @@
     pub last_event: Option<u64>,
 }
 
+/// What the head of a response states about the endpoint's rate limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StatedRate {
+    /// Nothing: the endpoint has no limit.
+    #[default]
+    Absent,
+    /// A limit that is not a number; the one stated before holds.
+    Unreadable,
+    /// Requests a second that the endpoint takes from all entries together.
+    Limit(RequestRate),
+}
+
 /// What the head of an endpoint's response states about the attempt.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseMetadata {
@@ -99,8 +111,8 @@
     pub is_leaving: bool,
     /// Time for which the endpoint, which turned the request away, wants none from this entry.
     pub pause: Option<Millis>,
-    /// Requests a second that the endpoint takes from all entries together.
-    pub rate_limit: Option<RequestRate>,
+    /// Rate limit of the endpoint.
+    pub rate_limit: StatedRate,
 }
 
 /// Header conventions of a deployment.
--- a/papayatrayd/src/gateway/headers.rs
+++ b/papayatrayd/src/gateway/headers.rs
@@ -18,6 +18,7 @@
 use super::dialect::RequestMetadata;
 use super::dialect::RequestedModel;
 use super::dialect::ResponseMetadata;
+use super::dialect::StatedRate;
 use super::relay::end_to_end;
 
 /// Value of the model header that lets the gateway choose.
@@ -157,7 +158,7 @@
         ResponseMetadata {
             is_leaving: header_text(headers, &names.leaving) == Some(LEAVING),
             pause: pause_of(head),
-            rate_limit: header_text(headers, &names.rate_limit).and_then(RequestRate::parse),
+            rate_limit: stated_rate(headers, &names.rate_limit),
             not_run: headers.contains_key(&names.not_run) || is_misdirected,
             has_run,
             request_id: header_text(headers, &names.request).map(str::to_owned),
@@ -177,6 +178,14 @@
     requested_pause(value)
 }
 
+fn stated_rate(headers: &HeaderMap, name: &HeaderName) -> StatedRate {
+    if !headers.contains_key(name) {
+        return StatedRate::Absent;
+    }
+    let rate = header_text(headers, name).and_then(RequestRate::parse);
+    rate.map_or(StatedRate::Unreadable, StatedRate::Limit)
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
--- a/papayatrayd/src/gateway/mod.rs
+++ b/papayatrayd/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 pub use dialect::RequestMetadata;
 pub use dialect::RequestedModel;
 pub use dialect::ResponseMetadata;
+pub use dialect::StatedRate;
 pub use events::EventReader;
 pub use fleet::SelectedEndpoint;
 pub use headers::HeaderDialect;
--- a/papayatrayd/src/gateway/state/statements.rs
+++ b/papayatrayd/src/gateway/state/statements.rs
@@ -7,6 +7,7 @@
 
 use super::Gateway;
 use crate::gateway::dialect::ResponseMetadata;
+use crate::gateway::dialect::StatedRate;
 use crate::gateway::fleet::SelectedEndpoint;
 use crate::observe::Level;
 use crate::observe::event;
@@ -45,11 +46,12 @@
                 &[("endpoint", &endpoint.id), ("pause_ms", &pause.as_u64())],
             );
         }
-        if let Some(rate) = metadata.rate_limit {
-            self.record_rate_limit(endpoint, rate);
-        } else if metadata.has_run && metadata.request_id.as_deref() == Some(request) {
-            // Rejections, and late responses to earlier requests, do not say that a limit ended.
-            self.lift_rate_limit(endpoint, sent_at);
+        // Rejections, and late responses to earlier requests, do not say that a limit ended.
+        let is_own = metadata.has_run && metadata.request_id.as_deref() == Some(request);
+        match metadata.rate_limit {
+            StatedRate::Limit(rate) => self.record_rate_limit(endpoint, rate),
+            StatedRate::Absent if is_own => self.lift_rate_limit(endpoint, sent_at),
+            StatedRate::Absent | StatedRate::Unreadable => {}
         }
     }
 
--- a/papayatrayd/tests/gateway/rate_limits.rs
+++ b/papayatrayd/tests/gateway/rate_limits.rs
@@ -217,6 +217,25 @@
     );
 }
 
+#[test]
+fn unreadable_statement_leaves_the_limit_as_it_was() {
+    let endpoint = FakeEndpoint::start(|number, request| {
+        let rate = if number == 0 { "0.1" } else { "much" };
+        let line = format!("Papayatray-Rate-Limit: {rate}\r\n");
+        let whole = response(request, "200 OK", "body");
+        vec![Step::Send(with_header(whole, &line))]
+    });
+    let site = Site::start(&[&endpoint]);
+    let entry = &site.entries[0];
+    for _ in 0..200 {
+        entry.request("/safe/x", "");
+        site.clock.advance(Millis::from_secs(1));
+        site.sync();
+    }
+    // One of seven entries has a request in 70 s.
+    assert!((2..=4).contains(&endpoint.requests().len()));
+}
+
 #[test]
 fn restarted_endpoint_is_not_limited() {
     let limited = limiting_endpoint("0.5");
