--- a/papayatray_core/src/gateway/pauses.rs
+++ b/papayatray_core/src/gateway/pauses.rs
@@ -18,14 +18,8 @@
 /// The value is a number of seconds, which may have a fraction. Zero, a date and any other text ask
 /// for none; a longer time than ten minutes counts as ten minutes.
 pub fn requested_pause(value: &str) -> Option<Millis> {
-    let thousandths = decimal::thousandths(value)?;
     // Rounded up, so that the pause does not end before the stated time.
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "not negative, and the cast saturates"
-    )]
-    let millis = thousandths.ceil() as u64;
+    let millis = decimal::thousandths(value, f64::ceil)?;
     (millis > 0).then(|| Millis::new(millis).min(MAX_PAUSE))
 }
 
--- a/papayatray_core/src/gateway/rate_limits.rs
+++ b/papayatray_core/src/gateway/rate_limits.rs
@@ -47,15 +47,8 @@
     ///
     /// Any other text states none.
     pub fn parse(value: &str) -> Option<Self> {
-        let thousandths = decimal::thousandths(value)?;
         // Rounded down, so that the rate does not exceed the stated one.
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "not negative, and the cast saturates"
-        )]
-        let thousandths = thousandths as u64;
-        Some(Self(thousandths))
+        decimal::thousandths(value, f64::floor).map(Self)
     }
 
     /// Returns the thousandths of a request a second.
