--- a/papayatray_core/src/gateway/crashes.rs
+++ b/papayatray_core/src/gateway/crashes.rs
@@ -137,6 +137,11 @@
         all.collect()
     }
 
+    /// Returns the number of suspects.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
     /// Returns whether there is no suspect.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
--- a/papayatrayd/src/gateway/attempt.rs
+++ b/papayatrayd/src/gateway/attempt.rs
@@ -11,7 +11,9 @@
 use super::dialect::ResponseMetadata;
 use super::fleet::Prompt;
 use super::fleet::SelectedEndpoint;
+use super::routed_request::RoutedRequest;
 use super::state::Gateway;
+use super::state::LostAttempt;
 use crate::observe::Span;
 
 /// Response whose head has arrived and whose body is still to be read.
@@ -48,6 +50,10 @@
     pub(super) gateway: Arc<Gateway>,
     pub(super) endpoint: SelectedEndpoint,
     pub(super) started_at: Millis,
+    /// Time at which the response head arrived.
+    pub(super) answered_at: Option<Millis>,
+    /// Time at which the first event of a stream arrived.
+    pub(super) first_event_at: Option<Millis>,
     prompt: Prompt,
     /// Prefill time still counted in the endpoint's backlog.
     prefill_ms: f64,
@@ -72,11 +78,27 @@
             prompt,
             prefill_ms,
             started_at,
+            answered_at: None,
+            first_event_at: None,
             gateway: Arc::clone(gateway),
             endpoint,
         }
     }
 
+    /// Returns this attempt of `request` as one whose connection was lost just now.
+    pub(super) fn lost(&self, request: &RoutedRequest) -> LostAttempt {
+        LostAttempt {
+            request: request.metadata.id.clone(),
+            fingerprint: request.fingerprint,
+            parts: request.metadata.shared_parts().collect(),
+            endpoint: self.endpoint.clone(),
+            sent_at: self.started_at,
+            answered_at: self.answered_at,
+            first_event_at: self.first_event_at,
+            lost_at: self.gateway.clock.now(),
+        }
+    }
+
     /// Removes this attempt's prefill from the endpoint's backlog.
     pub(super) fn record_prefill_done(&mut self) {
         let prefill_ms = std::mem::take(&mut self.prefill_ms);
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -289,8 +289,7 @@
             }
             Some(Err(ExchangeError::Lost(_))) => {
                 attempt.record_failure();
-                let fingerprint = self.request.fingerprint;
-                self.gateway.detect_crash(fingerprint, &attempt.endpoint);
+                self.gateway.detect_crash(attempt.lost(&self.request));
                 self.record_failed_run(&attempt).map(|()| None)
             }
             None => {
@@ -328,7 +327,7 @@
 
     fn check_response(
         &mut self,
-        attempt: InFlightAttempt,
+        mut attempt: InFlightAttempt,
         received: EndpointResponse,
     ) -> Result<Option<StartedResponse>, Refusal> {
         let (head, body) = received.response.into_parts();
@@ -350,6 +349,7 @@
             return Ok(None);
         }
         self.possible_runs += 1;
+        attempt.answered_at = Some(self.gateway.clock.now());
         Ok(Some(StartedResponse {
             attempt,
             head,
@@ -386,8 +386,7 @@
     /// Records that a started response was cut off; returns whether the request may be retried.
     pub(super) fn record_broken_response(&mut self, attempt: &InFlightAttempt) -> bool {
         attempt.record_failure();
-        let fingerprint = self.request.fingerprint;
-        self.gateway.detect_crash(fingerprint, &attempt.endpoint);
+        self.gateway.detect_crash(attempt.lost(&self.request));
         self.excluded.push(attempt.endpoint.id.clone());
         self.can_retry()
     }
--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -162,6 +162,11 @@
         (endpoints, inner.entries.len())
     }
 
+    /// Returns the number of requests suspected of crashing endpoints.
+    pub(super) fn suspect_count(&self) -> usize {
+        self.inner().crashes.len()
+    }
+
     /// Returns the addresses of the control replicas.
     pub(super) fn controls(&self) -> Vec<String> {
         self.inner().applied.controls.clone()
--- a/papayatrayd/src/gateway/control_state/sync.rs
+++ b/papayatrayd/src/gateway/control_state/sync.rs
@@ -231,7 +231,14 @@
             event(
                 Level::Warn,
                 "request_quarantined",
-                &[("endpoints", &suspect.crashed.len())],
+                &[
+                    (
+                        "fingerprint",
+                        &format_args!("{:032x}", suspect.fingerprint.0),
+                    ),
+                    ("endpoints", &suspect.crashed.len()),
+                    ("suspects", &self.crashes.len()),
+                ],
             );
             self.quarantined.push(suspect);
         }
--- a/papayatrayd/src/gateway/dialect.rs
+++ b/papayatrayd/src/gateway/dialect.rs
@@ -57,6 +57,12 @@
         self.parts.get(shared).map(|part| part.digest)
     }
 
+    /// Returns the digests of the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(shared).map(|part| part.digest)
+    }
+
     /// Returns two counts of tokens: of the shared prefix, which is all parts but the last, and of
     /// the last part, which is unique to the request or its session.
     pub fn shared_and_unique_tokens(&self) -> (u32, u32) {
--- a/papayatrayd/src/gateway/metrics.rs
+++ b/papayatrayd/src/gateway/metrics.rs
@@ -51,6 +51,8 @@
     pub endpoints: usize,
     /// Entries that are listed to callers.
     pub entries: usize,
+    /// Requests suspected of crashing endpoints.
+    pub suspects: usize,
     /// Whether this control replica holds the leader lease.
     pub is_leader: bool,
 }
@@ -68,6 +70,7 @@
     evidence_age: Gauge,
     endpoints: Gauge,
     entries: Gauge,
+    suspects: Gauge,
     is_leader: Gauge,
     dropped_lines: Gauge,
     suppressed_lines: Gauge,
@@ -86,6 +89,7 @@
             evidence_age: Gauge::default(),
             endpoints: Gauge::default(),
             entries: Gauge::default(),
+            suspects: Gauge::default(),
             is_leader: Gauge::default(),
             dropped_lines: Gauge::default(),
             suppressed_lines: Gauge::default(),
@@ -131,6 +135,11 @@
                 &self.endpoints,
             ),
             ("entries", "Entries listed to callers", &self.entries),
+            (
+                "suspects",
+                "Requests suspected of crashing endpoints",
+                &self.suspects,
+            ),
             (
                 "leads",
                 "1 on the control replica that leads, else 0",
@@ -188,6 +197,7 @@
         self.evidence_age.set(to_gauge(values.evidence_age));
         self.endpoints.set(to_gauge(values.endpoints as u64));
         self.entries.set(to_gauge(values.entries as u64));
+        self.suspects.set(to_gauge(values.suspects as u64));
         self.is_leader.set(i64::from(values.is_leader));
         self.dropped_lines.set(to_gauge(dropped));
         self.suppressed_lines.set(to_gauge(suppressed));
--- a/papayatrayd/src/gateway/operator.rs
+++ b/papayatrayd/src/gateway/operator.rs
@@ -109,6 +109,7 @@
             plan: self.state.version().0,
             endpoints,
             entries,
+            suspects: self.state.suspect_count(),
             is_leader: self.state.has_leader_lease(),
             ..GaugeValues::default()
         })
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -1,7 +1,6 @@
 //! State of an entry that its tasks share: plan, endpoints, roll-outs, evidence and counters.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -31,22 +30,21 @@
 use papayatray_core::gateway::updates::UpdateLog;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::EndpointId;
-use papayatray_core::id::Fingerprint;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
-use papayatray_core::suspicion::EndpointIncarnation;
 use papayatray_wire::peer::Deregistration;
 use papayatray_wire::peer::SyncReply;
 use smol::Timer;
 use smol::future::FutureExt;
 
+mod crashes;
 mod entries;
 mod releases;
 mod statements;
 
+pub(super) use self::crashes::LostAttempt;
 pub(super) use self::entries::InFlightGuard;
-use super::connection_pool;
 use super::connection_pool::ConnectionPool;
 use super::dialect::Dialect;
 use super::fleet::Fleet;
@@ -63,8 +61,6 @@
 /// Crash reports retained until the control replicas have received them: the requests of one entry
 /// that are in flight at the endpoints of a large deployment.
 const MAX_CRASH_REPORTS: usize = 1_024;
-/// Crash reports in one sync request.
-const MAX_REPORTS_PER_SYNC: usize = 64;
 
 /// Limits and intervals that hold for a whole deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -350,6 +346,7 @@
             evidence_age: age,
             endpoints,
             entries: self.entries().len(),
+            suspects: self.crashes().len(),
             is_leader: false,
         })
     }
@@ -441,59 +438,12 @@
         *lock(&self.wall_offset) + now
     }
 
-    pub(super) fn crashes(&self) -> MutexGuard<'_, CrashTable> {
-        lock(&self.crashes)
-    }
-
-    /// Returns the requests suspected of crashing endpoints.
-    pub fn suspects(&self) -> Vec<Suspect> {
-        self.crashes().suspects()
-    }
-
-    /// Returns the next crashes that this entry has seen, after report number `number`.
-    pub fn crash_reports_since(&self, number: u64) -> UpdateBatch<Suspect> {
-        lock(&self.crash_reports).batch_since(number, MAX_REPORTS_PER_SYNC)
-    }
-
     /// Returns the endpoints that stated to this entry that they are leaving, after departure number
     /// `number`.
     pub fn departures_since(&self, number: u64) -> UpdateBatch<Deregistration> {
         self.fleet().departures_since(number)
     }
 
-    /// Probes an endpoint whose connection was lost; if it refuses connections, records a crash.
-    ///
-    /// The crash counts against the request `fingerprint`. The probe runs in a separate task.
-    pub(super) fn detect_crash(
-        self: &Arc<Self>,
-        fingerprint: Fingerprint,
-        endpoint: &SelectedEndpoint,
-    ) {
-        let (gateway, endpoint) = (Arc::clone(self), endpoint.clone());
-        self.tasks.spawn(async move {
-            if !connection_pool::is_connection_refused(endpoint.address).await {
-                return;
-            }
-            event(
-                Level::Warn,
-                "endpoint_crashed",
-                &[("endpoint", &endpoint.id)],
-            );
-            let crashed = EndpointIncarnation {
-                endpoint: endpoint.id,
-                incarnation: endpoint.incarnation,
-            };
-            let now = gateway.clock.now();
-            // The control replicas learn of it with the next sync: woken by each request that was
-            // lost in a crash, all entries would sync with all replicas at once.
-            lock(&gateway.crash_reports).push(Suspect {
-                fingerprint,
-                crashed: BTreeSet::from([crashed.clone()]),
-            });
-            gateway.crashes().record_crash(fingerprint, crashed, now);
-        });
-    }
-
     pub(super) fn budget(&self) -> MutexGuard<'_, ArrivalBudget> {
         lock(&self.budget)
     }
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -359,6 +359,8 @@
                     continue;
                 }
                 self.last_progress = attempts.gateway.clock.now();
+                let first_event_at = &mut self.started.attempt.first_event_at;
+                first_event_at.get_or_insert(self.last_progress);
                 attempts.gateway.record_event(
                     &self.started.attempt.endpoint,
                     &mut self.pace,
