--- /dev/null
+++ b/papayatrayd/tests/processes/crashes.rs
@@ -0,0 +1,228 @@
+//! Endpoints that crash on requests with one prompt part, whatever else the requests hold.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crate::site::Site;
+use crate::site::call_with_headers;
+
+/// Prompt part on which endpoints crash.
+const POISON_PART: &str = "dead";
+/// Endpoints at the start; far more than may crash.
+const ENDPOINTS: usize = 40;
+/// Requests with the part, at most; enough to crash all endpoints.
+const MAX_POISON_REQUESTS: usize = 120;
+/// Requests with the part after the first that is refused.
+const LATER_REQUESTS: usize = 20;
+/// Time for which an endpoint reads a prompt.
+const PREFILL: Duration = Duration::from_millis(30);
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+/// Events of a stream.
+const EVENTS: u64 = 10;
+
+/// Endpoint that serves streams, and stops listening on a request with the poison part.
+struct CrashingEndpoint {
+    address: SocketAddr,
+    has_crashed: AtomicBool,
+    is_closed: AtomicBool,
+    /// Requests with the poison part that arrived.
+    poison_count: AtomicUsize,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+impl CrashingEndpoint {
+    fn start() -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let endpoint = Arc::new(Self {
+            address: listener.local_addr().unwrap(),
+            has_crashed: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
+            poison_count: AtomicUsize::new(0),
+            connections: Mutex::default(),
+        });
+        let server = Arc::clone(&endpoint);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if server.has_crashed.load(Ordering::SeqCst) {
+                    break;
+                }
+                let clone = stream.try_clone().unwrap();
+                server.connections.lock().unwrap().push(clone);
+                let server = Arc::clone(&server);
+                thread::spawn(move || server.serve(stream));
+            }
+            drop(listener);
+            server.is_closed.store(true, Ordering::SeqCst);
+        });
+        endpoint
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let Some(head) = read_head(&mut stream) else {
+            return;
+        };
+        let is_poison = head.contains(&format!("{POISON_PART}:"));
+        if is_poison {
+            self.poison_count.fetch_add(1, Ordering::SeqCst);
+        }
+        thread::sleep(PREFILL);
+        let response_head = "HTTP/1.1 200 OK\r\nPapayatray-Request: r-1\r\nPapayatray-Ran: s\r\n\
+                             Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+        // The gateway may have closed the connection, here and below.
+        let _sent = stream.write_all(response_head.as_bytes());
+        if is_poison {
+            self.crash();
+            return;
+        }
+        for id in 1..=EVENTS {
+            let event = format!("id: {id}\ndata: piece\n\n");
+            if write!(stream, "{:x}\r\n{event}\r\n", event.len()).is_err() {
+                return;
+            }
+            thread::sleep(EVENT_INTERVAL);
+        }
+        let _sent = stream.write_all(b"0\r\n\r\n");
+    }
+
+    /// Stops listening, then resets all connections.
+    fn crash(&self) {
+        self.has_crashed.store(true, Ordering::SeqCst);
+        // Wakes the listener's thread, which closes the listener.
+        let _woken = TcpStream::connect(self.address);
+        while !self.is_closed.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(1));
+        }
+        for connection in self.connections.lock().unwrap().drain(..) {
+            // The peer may have closed it.
+            let _closed = connection.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0; 1];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    Some(String::from_utf8_lossy(&head).to_ascii_lowercase())
+}
+
+/// Site whose endpoints crash, with callers that send sound requests until it is dropped.
+struct CrashingSite {
+    site: Arc<Site>,
+    endpoints: Vec<Arc<CrashingEndpoint>>,
+    is_over: Arc<AtomicBool>,
+    callers: Vec<thread::JoinHandle<()>>,
+}
+
+impl CrashingSite {
+    fn start(name: &str) -> Self {
+        let site = Arc::new(Site::start(name));
+        site.publish(1, "/a/");
+        let endpoints: Vec<_> = (0..ENDPOINTS).map(|_| CrashingEndpoint::start()).collect();
+        for (number, endpoint) in endpoints.iter().enumerate() {
+            site.announce_as(&format!("e-{number}"), endpoint.address);
+        }
+        for entry in 0..2 {
+            site.wait_status(entry, "/a/x", 200);
+        }
+        let is_over = Arc::new(AtomicBool::new(false));
+        let callers = (0..4).map(|number| {
+            let (site, is_over) = (Arc::clone(&site), Arc::clone(&is_over));
+            thread::spawn(move || {
+                let mut sent = 0;
+                while !is_over.load(Ordering::SeqCst) {
+                    sent += 1;
+                    send_sound(&site, number % 2, number * 10_000 + sent);
+                }
+            })
+        });
+        Self {
+            callers: callers.collect(),
+            site,
+            endpoints,
+            is_over,
+        }
+    }
+
+    /// Sends a request with the poison part that is like no other; returns the status.
+    fn send_poison(&self, number: usize) -> u16 {
+        let entry = number % 2;
+        let parts = if number.is_multiple_of(3) {
+            format!("aa:100,{POISON_PART}:50,{number:x}0000:9")
+        } else {
+            format!("aa:100,bb:50,{POISON_PART}:20,{number:x}0000:9")
+        };
+        send(&self.site, entry, &format!("/a/poison-{number}"), &parts)
+    }
+
+    fn crashed(&self) -> usize {
+        let crashed = self.endpoints.iter();
+        crashed
+            .filter(|e| e.has_crashed.load(Ordering::SeqCst))
+            .count()
+    }
+
+    fn poison_arrivals(&self) -> usize {
+        let counts = self.endpoints.iter();
+        counts.map(|e| e.poison_count.load(Ordering::SeqCst)).sum()
+    }
+}
+
+impl Drop for CrashingSite {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        for caller in self.callers.drain(..) {
+            // A caller that panicked has printed why.
+            let _ended = caller.join();
+        }
+    }
+}
+
+/// Sends a sound request, which shares its first parts with requests that crash endpoints.
+fn send_sound(site: &Site, entry: usize, number: usize) -> u16 {
+    let parts = format!("aa:100,bb:50,{number:x}00:9");
+    send(site, entry, &format!("/a/sound-{number}"), &parts)
+}
+
+fn send(site: &Site, entry: usize, path: &str, parts: &str) -> u16 {
+    let headers = format!("Papayatray-Prefix: {parts}\r\n");
+    let address = site.caller_addresses[entry];
+    call_with_headers(address, "POST", path, &headers, path).0
+}
+
+#[test]
+fn prompt_part_that_crashes_endpoints_is_quarantined_at_every_entry() {
+    let play = CrashingSite::start("part");
+    let mut refused = [false, false];
+    let mut number = 0;
+    while refused != [true, true] && number < MAX_POISON_REQUESTS {
+        refused[number % 2] = play.send_poison(number) == 503;
+        number += 1;
+    }
+    let (crashed, arrivals) = (play.crashed(), play.poison_arrivals());
+    assert!(crashed < ENDPOINTS, "all {crashed} endpoints crashed");
+    for later in 0..LATER_REQUESTS {
+        assert_eq!(play.send_poison(number + later), 503);
+    }
+    assert_eq!(play.poison_arrivals(), arrivals);
+    for entry in 0..2 {
+        assert_eq!(send_sound(&play.site, entry, 1), 200);
+    }
+}
--- a/papayatrayd/tests/processes/main.rs
+++ b/papayatrayd/tests/processes/main.rs
@@ -3,5 +3,6 @@
 
 #![expect(clippy::unwrap_used, reason = "a test that cannot go on fails")]
 
+mod crashes;
 mod faults;
 mod site;
--- a/papayatrayd/tests/processes/site.rs
+++ b/papayatrayd/tests/processes/site.rs
@@ -197,10 +197,15 @@
         self.call_operator("PUT", "/v1/plan", &plan.to_string());
     }
 
-    /// Announces an endpoint of the service `app`.
+    /// Announces the endpoint `e-1` of the service `app`.
     pub fn announce(&self, address: SocketAddr) {
+        self.announce_as("e-1", address);
+    }
+
+    /// Announces an endpoint of the service `app`.
+    pub fn announce_as(&self, id: &str, address: SocketAddr) {
         let endpoint = serde_json::json!({
-            "id": "e-1", "incarnation": 1, "sequence": 1, "address": address.to_string(),
+            "id": id, "incarnation": 1, "sequence": 1, "address": address.to_string(),
             "data_centre": "here", "offer": {"service": "app"}, "slots": 8, "fences": false,
             "leaving": false, "load": {"running": 0, "waiting": 0}, "release": "v1", "cold": 0,
         });
@@ -261,12 +266,23 @@
 
 /// Sends one request; returns the status, or 0 without a response, and the body.
 pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    call_with_headers(address, method, path, "", body)
+}
+
+/// Sends one request like [`call`], with further header lines.
+pub fn call_with_headers(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> (u16, String) {
     let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(2)) else {
         return (0, String::new());
     };
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n\
-         Papayatray-Request: r-1\r\nContent-Length: {}\r\n\r\n{body}",
+         Papayatray-Request: r-1\r\n{headers}Content-Length: {}\r\n\r\n{body}",
         body.len(),
     );
     let mut bytes = Vec::new();
