--- a/papayatray_core/src/gateway/crashes.rs
+++ b/papayatray_core/src/gateway/crashes.rs
@@ -1,49 +1,254 @@
-//! Poison requests: requests that crash the endpoints that run them, counted over the whole fleet.
+//! Evidence on what makes endpoints crash, collected over the whole fleet.
 //!
-//! A caller may retry a poison request at a different entry each time and so take down one
-//! endpoint per retry. The chat interface runs suspects in isolation trials that are coordinated
-//! through the replicated log. The gateway only counts crashes in soft state: each attempt has an
-//! id of its own, and trials would delay the many innocent requests in flight at every crash.
+//! All requests that an endpoint was about to answer when it crashed are reported, and each crash
+//! counts against everything that such a request may bring along: the request itself, and each part of
+//! its prompt that other requests may share. A later request that an endpoint answered clears what
+//! it brought along. [`attribution`](super::attribution) decides from the rest what is quarantined.
+//!
+//! The chat interface runs suspects in isolation trials instead, which are coordinated through the
+//! replicated log. Here trials would delay the many sound requests in flight at every crash, so the
+//! evidence is soft state.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::fmt;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::attribution;
+use super::attribution::Candidate;
 use crate::clock::Millis;
 use crate::id::Fingerprint;
+use crate::id::ServiceId;
 use crate::suspicion::EndpointIncarnation;
 
-/// Number of different endpoint incarnations that a request must have crashed to be quarantined.
-const QUARANTINE_CRASHES: usize = 3;
-/// Time from the first report of a suspect until it is forgotten; callers stop retrying long
-/// before.
-const SUSPECT_RETENTION: Millis = Millis::from_secs(120);
+/// Time for which a crash counts; callers stop retrying a request long before.
+const EVIDENCE_TTL: Millis = Millis::from_secs(120);
+/// Duration of the first quarantine of a cause; doubles with each further one.
+const MIN_QUARANTINE: Millis = Millis::from_secs(300);
+/// Maximum duration of a quarantine.
+const MAX_QUARANTINE: Millis = Millis::from_secs(3_600);
+/// Time from the publication of a suspect until it may be quarantined; some rounds of syncs, in
+/// which entries answer whether a request with it has survived.
+const ANSWER_TIME: Millis = Millis::new(800);
 /// Maximum number of suspects of an entry; of more, those with the fewest crashes are evicted, and
-/// among these the ones reported first.
+/// among these the ones with the oldest crashes.
 const MAX_SUSPECTS: usize = 512;
+/// Suspects that are published at once, those with the most crashes first.
+const MAX_PUBLISHED: usize = 32;
+
+/// Interval of evaluations without new evidence, in which quarantines end and evidence expires.
+const MAX_EVALUATION_AGE: Millis = Millis::from_secs(1);
+
+/// What may make endpoints crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum CrashCause {
+    /// Request, by its digest.
+    #[serde(rename = "request")]
+    Request(Fingerprint),
+    /// Part of a prompt, by its digest, whatever else a request holds.
+    #[serde(rename = "part")]
+    PromptPart(u64),
+}
+
+impl fmt::Display for CrashCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(fingerprint) => write!(f, "request:{:032x}", fingerprint.0),
+            Self::PromptPart(digest) => write!(f, "part:{digest:x}"),
+        }
+    }
+}
+
+/// Returns everything that a request brings along and that may make endpoints crash.
+///
+/// `parts` are the digests of the prompt parts that other requests may share.
+pub fn causes(request: Fingerprint, parts: &[u64]) -> impl Iterator<Item = CrashCause> {
+    let parts = parts.iter().copied().map(CrashCause::PromptPart);
+    std::iter::once(CrashCause::Request(request)).chain(parts)
+}
 
-/// Request that may have crashed endpoints, as exchanged between entries and control replicas.
+/// Request that an endpoint was about to answer when it crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LostRequest {
+    /// Endpoint that crashed.
+    pub endpoint: EndpointIncarnation,
+    /// Service that the endpoint runs.
+    pub service: ServiceId,
+    /// Digest of the request.
+    pub request: Fingerprint,
+    /// Digests of the prompt parts that other requests may share, in the order of the prompt.
+    pub parts: Vec<u64>,
+    /// Time at which the request was sent to the endpoint.
+    pub sent_at: Millis,
+    /// Time at which the connection was lost.
+    pub crashed_at: Millis,
+}
+
+/// [`LostRequest`] as one process reports it to another, whose clock differs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspect {
+pub struct CrashReport {
+    /// Endpoint that crashed.
+    pub endpoint: EndpointIncarnation,
+    /// Service that the endpoint runs.
+    pub service: ServiceId,
     /// Digest of the request.
-    pub fingerprint: Fingerprint,
-    /// Endpoint incarnations that crashed while they ran it.
-    pub crashed: BTreeSet<EndpointIncarnation>,
+    pub request: Fingerprint,
+    /// Digests of the prompt parts that other requests may share, in the order of the prompt.
+    pub parts: Vec<u64>,
+    /// Time since the crash.
+    pub age: Millis,
+    /// Time from sending the request to the crash.
+    pub ran_for: Millis,
+}
+
+impl LostRequest {
+    /// Returns the report at the time `now`.
+    pub fn report(&self, now: Millis) -> CrashReport {
+        CrashReport {
+            endpoint: self.endpoint.clone(),
+            service: self.service.clone(),
+            request: self.request,
+            parts: self.parts.clone(),
+            age: now.since(self.crashed_at),
+            ran_for: self.crashed_at.since(self.sent_at),
+        }
+    }
+
+    /// Converts a report that is received at the time `now`.
+    pub fn from_report(report: &CrashReport, now: Millis) -> Self {
+        let crashed_at = now.since(report.age);
+        Self {
+            endpoint: report.endpoint.clone(),
+            service: report.service.clone(),
+            request: report.request,
+            parts: report.parts.clone(),
+            sent_at: crashed_at.since(report.ran_for),
+            crashed_at,
+        }
+    }
+}
+
+/// Suspects and quarantined causes, as published to entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Findings {
+    /// Causes of crashes: no entry may send a request that brings one along.
+    pub quarantined: BTreeSet<CrashCause>,
+    /// Causes that may be quarantined soon, and the time of the last crash of each. An entry at which
+    /// a request with one began to be answered after that crash has to say so.
+    pub suspected: Vec<(CrashCause, Millis)>,
+}
+
+/// What changed when the evidence was evaluated.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FindingChanges {
+    /// Causes quarantined from now on, and the number of their crashes.
+    pub quarantined: Vec<(CrashCause, usize)>,
+    /// Causes no longer quarantined.
+    pub released: Vec<CrashCause>,
 }
 
+impl FindingChanges {
+    /// Returns whether nothing changed.
+    pub const fn is_empty(&self) -> bool {
+        self.quarantined.is_empty() && self.released.is_empty()
+    }
+}
+
+/// Crash that counts against a cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Crash {
+    pub(super) request: Fingerprint,
+    pub(super) sent_at: Millis,
+    pub(super) crashed_at: Millis,
+}
+
+/// Number that stands for an endpoint incarnation in a [`CrashTable`].
+pub(super) type CrashId = u64;
+
+/// Evidence against one cause.
 #[derive(Clone, Debug)]
 struct Record {
-    crashed: BTreeSet<EndpointIncarnation>,
-    first_reported_at: Millis,
+    service: ServiceId,
+    /// Crashes since a request with the cause was answered.
+    crashes: BTreeMap<CrashId, Crash>,
+    /// Largest position of the part in a prompt; 0 for a request.
+    depth: usize,
+    /// Time since which the cause has been published as a suspect.
+    suspected_at: Option<Millis>,
+    /// End of the quarantine that is in force.
+    held_until: Option<Millis>,
+    /// Number of quarantines so far that were not found to be wrong.
+    quarantines: u32,
+    /// End of the last quarantine.
+    released_at: Option<Millis>,
 }
 
-/// Suspects by fingerprint.
+impl Record {
+    /// Returns whether the cause was quarantined and released before, and never found harmless.
+    const fn is_relapse(&self) -> bool {
+        self.released_at.is_some()
+    }
+
+    fn quarantine(&mut self, now: Millis) {
+        let factor = 1_u64.checked_shl(self.quarantines).unwrap_or(u64::MAX);
+        let length = MIN_QUARANTINE.as_u64().saturating_mul(factor);
+        self.held_until = Some(now + Millis::new(length).min(MAX_QUARANTINE));
+        self.quarantines += 1;
+    }
+
+    /// Ends a quarantine that was wrong.
+    const fn absolve(&mut self) {
+        self.held_until = None;
+        self.released_at = None;
+        self.quarantines = 0;
+    }
+
+    /// Ends a quarantine that has run out; the cause may be tried again.
+    fn end_quarantine(&mut self, now: Millis) {
+        if self.held_until.is_some_and(|end| end <= now) {
+            self.held_until = None;
+            self.released_at = Some(now);
+            self.crashes.clear();
+        }
+    }
+
+    fn expire(&mut self, now: Millis) {
+        if self.held_until.is_none() {
+            self.crashes
+                .retain(|_, crash| now.since(crash.crashed_at) < EVIDENCE_TTL);
+        }
+        let is_long_ago = |at| now.since(at) >= MAX_QUARANTINE;
+        if self.held_until.is_none() && self.released_at.is_some_and(is_long_ago) {
+            self.absolve();
+        }
+    }
+
+    fn is_needed(&self) -> bool {
+        !self.crashes.is_empty() || self.quarantines > 0
+    }
+
+    /// Sort key by which records are evicted, the smallest first.
+    fn eviction_rank(&self) -> (bool, usize, Millis) {
+        let last = self.crashes.values().map(|crash| crash.crashed_at).max();
+        let is_kept = self.quarantines > 0;
+        (is_kept, self.crashes.len(), last.unwrap_or_default())
+    }
+}
+
+/// Evidence by cause.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
-    records: BTreeMap<Fingerprint, Record>,
+    records: BTreeMap<CrashCause, Record>,
     capacity: usize,
+    crash_ids: BTreeMap<EndpointIncarnation, CrashId>,
+    last_crash_id: CrashId,
+    /// Time at which the last request of each service that was answered began to be.
+    answered_at: BTreeMap<ServiceId, Millis>,
+    findings: Findings,
+    has_new_evidence: bool,
+    evaluated_at: Millis,
 }
 
 impl Default for CrashTable {
@@ -53,96 +258,184 @@
 }
 
 impl CrashTable {
-    /// Creates a table that keeps at most `capacity` suspects.
-    pub const fn with_capacity(capacity: usize) -> Self {
+    /// Creates a table that keeps the evidence on at most `capacity` causes.
+    pub fn with_capacity(capacity: usize) -> Self {
         Self {
             records: BTreeMap::new(),
+            crash_ids: BTreeMap::new(),
+            last_crash_id: 0,
+            answered_at: BTreeMap::new(),
+            findings: Findings::default(),
+            has_new_evidence: false,
+            evaluated_at: Millis::ZERO,
             capacity,
         }
     }
 
-    /// Records that `incarnation` crashed while it ran the request.
-    pub fn record_crash(
-        &mut self,
-        fingerprint: Fingerprint,
-        incarnation: EndpointIncarnation,
-        now: Millis,
-    ) {
-        self.merge(
-            &[Suspect {
-                fingerprint,
-                crashed: BTreeSet::from([incarnation]),
-            }],
-            now,
-        );
+    /// Records requests that were lost in crashes; one that is reported repeatedly counts once.
+    pub fn record<'a, I>(&mut self, lost_requests: I)
+    where
+        I: IntoIterator<Item = &'a LostRequest>,
+    {
+        for lost in lost_requests {
+            self.has_new_evidence = true;
+            let id = self.crash_id(&lost.endpoint);
+            let crash = Crash {
+                request: lost.request,
+                sent_at: lost.sent_at,
+                crashed_at: lost.crashed_at,
+            };
+            for (depth, cause) in causes(lost.request, &lost.parts).enumerate() {
+                let record = self.records.entry(cause).or_insert_with(|| Record {
+                    service: lost.service.clone(),
+                    crashes: BTreeMap::new(),
+                    depth: 0,
+                    suspected_at: None,
+                    held_until: None,
+                    quarantines: 0,
+                    released_at: None,
+                });
+                record.depth = record.depth.max(depth);
+                let known = record.crashes.entry(id).or_insert(crash);
+                // Of several requests at the endpoint, the one sent last says most about the order of
+                // crashes.
+                if crash.sent_at > known.sent_at {
+                    *known = crash;
+                }
+            }
+        }
+        self.evict_beyond_capacity();
     }
 
-    /// Merges suspects reported by other processes, and drops expired ones.
+    fn crash_id(&mut self, endpoint: &EndpointIncarnation) -> CrashId {
+        if let Some(id) = self.crash_ids.get(endpoint) {
+            return *id;
+        }
+        self.last_crash_id += 1;
+        self.crash_ids.insert(endpoint.clone(), self.last_crash_id);
+        self.last_crash_id
+    }
+
+    /// Records that an endpoint began at `began_at` to answer a request with the cause, and went on.
     ///
-    /// A crash that is reported repeatedly counts once. Returns the suspects that are quarantined
-    /// from now on.
-    pub fn merge(&mut self, suspects: &[Suspect], now: Millis) -> Vec<Suspect> {
-        self.records
-            .retain(|_, record| now.since(record.first_reported_at) < SUSPECT_RETENTION);
-        let mut quarantined = Vec::new();
-        for suspect in suspects {
-            let was_quarantined = self.is_quarantined(suspect.fingerprint);
-            let record = self.records.entry(suspect.fingerprint).or_insert(Record {
-                crashed: BTreeSet::new(),
-                first_reported_at: now,
-            });
-            record.crashed.extend(suspect.crashed.iter().cloned());
-            if !was_quarantined && record.crashed.len() >= QUARANTINE_CRASHES {
-                quarantined.push(Suspect {
-                    fingerprint: suspect.fingerprint,
-                    crashed: record.crashed.clone(),
-                });
+    /// Crashes before that were not due to the cause.
+    pub fn record_answer(&mut self, cause: CrashCause, began_at: Millis) {
+        if let Some(record) = self.records.get_mut(&cause) {
+            let before = record.crashes.len();
+            record
+                .crashes
+                .retain(|_, crash| crash.crashed_at > began_at);
+            if record.crashes.len() < before {
+                self.has_new_evidence = true;
+                record.absolve();
             }
         }
-        self.evict_beyond_capacity();
-        quarantined
     }
 
-    /// A crash of one endpoint makes suspects of all requests that it ran; few crash a second one.
+    /// Records that an endpoint of the service began at `began_at` to answer some request.
+    pub fn record_service_answer(&mut self, service: &ServiceId, began_at: Millis) {
+        let last = self.answered_at.entry(service.clone()).or_default();
+        *last = began_at.max(*last);
+    }
+
+    /// A crash of one endpoint makes suspects of all requests that it was about to answer; few crash a
+    /// second one.
     fn evict_beyond_capacity(&mut self) {
         let excess = self.records.len().saturating_sub(self.capacity);
         if excess == 0 {
             return;
         }
-        let mut ranked: Vec<(usize, Millis, Fingerprint)> = self
-            .records
-            .iter()
-            .map(|(fingerprint, record)| {
-                (record.crashed.len(), record.first_reported_at, *fingerprint)
-            })
+        let ranks = self.records.iter();
+        let mut ranked: Vec<_> = ranks
+            .map(|(cause, record)| (record.eviction_rank(), *cause))
             .collect();
         ranked.sort_unstable();
-        for (_, _, fingerprint) in ranked.into_iter().take(excess) {
-            self.records.remove(&fingerprint);
+        for (_, cause) in ranked.into_iter().take(excess) {
+            self.records.remove(&cause);
+        }
+    }
+
+    /// Returns whether an evaluation may find something else than the last one.
+    pub fn needs_evaluation(&self, now: Millis) -> bool {
+        let is_waiting = !self.findings.suspected.is_empty();
+        let is_old = now.since(self.evaluated_at) >= MAX_EVALUATION_AGE;
+        self.has_new_evidence || (!self.is_empty() && (is_waiting || is_old))
+    }
+
+    /// Decides anew what is quarantined and suspected; returns the changes of the quarantine.
+    pub fn evaluate(&mut self, now: Millis) -> FindingChanges {
+        self.has_new_evidence = false;
+        self.evaluated_at = now;
+        self.expire(now);
+        let attributed = attribution::attribute(self.records.iter().map(|(cause, record)| {
+            let is_answered = record
+                .suspected_at
+                .is_some_and(|at| now.since(at) >= ANSWER_TIME);
+            Candidate {
+                cause: *cause,
+                depth: record.depth,
+                crashes: &record.crashes,
+                is_relapse: record.is_relapse(),
+                may_be_chosen: record.held_until.is_some() || record.is_relapse() || is_answered,
+                answered_at: self.answered_at.get(&record.service).copied(),
+            }
+        }));
+        let suspects: BTreeSet<CrashCause> = attributed
+            .suspected
+            .iter()
+            .map(|(cause, _)| *cause)
+            .collect();
+        let mut changes = FindingChanges::default();
+        for (cause, record) in &mut self.records {
+            let is_chosen = attributed.chosen.contains(cause);
+            if is_chosen && record.held_until.is_none() {
+                record.quarantine(now);
+            } else if !is_chosen && record.held_until.is_some() {
+                record.absolve();
+            }
+            let is_suspect = suspects.contains(cause);
+            record.suspected_at = record.suspected_at.or(Some(now)).filter(|_| is_suspect);
         }
+        for cause in attributed.chosen.difference(&self.findings.quarantined) {
+            let crashes = self.records.get(cause).map_or(0, |r| r.crashes.len());
+            changes.quarantined.push((*cause, crashes));
+        }
+        let released = self.findings.quarantined.difference(&attributed.chosen);
+        changes.released.extend(released.copied());
+        let mut suspected = attributed.suspected;
+        suspected.truncate(MAX_PUBLISHED);
+        self.findings = Findings {
+            quarantined: attributed.chosen,
+            suspected,
+        };
+        changes
     }
 
-    /// Returns whether the request has crashed so many endpoints that every entry refuses it.
-    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        let record = self.records.get(&fingerprint);
-        record.is_some_and(|record| record.crashed.len() >= QUARANTINE_CRASHES)
+    fn expire(&mut self, now: Millis) {
+        for record in self.records.values_mut() {
+            record.end_quarantine(now);
+            record.expire(now);
+        }
+        self.records.retain(|_, record| record.is_needed());
+        let used: BTreeSet<CrashId> = self
+            .records
+            .values()
+            .flat_map(|record| record.crashes.keys().copied())
+            .collect();
+        self.crash_ids.retain(|_, id| used.contains(id));
     }
 
-    /// Returns all suspects with their crashes.
-    pub fn suspects(&self) -> Vec<Suspect> {
-        let all = self.records.iter().map(|(fingerprint, record)| Suspect {
-            fingerprint: *fingerprint,
-            crashed: record.crashed.clone(),
-        });
-        all.collect()
+    /// Returns what the last evaluation found.
+    pub const fn findings(&self) -> &Findings {
+        &self.findings
     }
 
-    /// Returns the number of suspects.
+    /// Returns the number of causes with evidence against them.
     pub fn len(&self) -> usize {
         self.records.len()
     }
 
-    /// Returns whether there is no suspect.
+    /// Returns whether there is no evidence.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
--- a/papayatray_core/src/gateway/mod.rs
+++ b/papayatray_core/src/gateway/mod.rs
@@ -3,7 +3,9 @@
 //! The chat interface routes by organisation and model instead. Both share endpoints, health,
 //! leases and the replicated log.
 
+pub mod answers;
 pub mod arrivals;
+mod attribution;
 pub mod crashes;
 mod decimal;
 pub mod entry_register;
--- a/papayatray_core/tests/core/gateway_crashes.rs
+++ b/papayatray_core/tests/core/gateway_crashes.rs
@@ -1,92 +1,321 @@
-//! Poison requests at the gateway: crashes reported by all entries quarantine a request together.
+//! Poison requests and prompt parts at the gateway: crashes reported by all entries quarantine what
+//! the crashing requests have in common, and nothing else.
 
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::crashes::CrashCause;
 use papayatray_core::gateway::crashes::CrashTable;
+use papayatray_core::gateway::crashes::LostRequest;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Fingerprint;
 use papayatray_core::id::Incarnation;
+use papayatray_core::id::ServiceId;
 use papayatray_core::suspicion::EndpointIncarnation;
 
 const NOW: Millis = Millis::from_secs(100);
 const POISON: Fingerprint = Fingerprint(7);
+/// Time from a request's arrival at an endpoint to the crash.
+const RUN: Millis = Millis::new(200);
+/// Time from the publication of suspects until all entries have answered.
+const ANSWERED: Millis = Millis::new(1_000);
 
-fn incarnation(number: u64) -> EndpointIncarnation {
-    EndpointIncarnation {
-        endpoint: EndpointId::new(format!("e{number}")).unwrap(),
-        incarnation: Incarnation(1),
+const FIRST_PART: u64 = 0xf;
+const SUBJECT_PART: u64 = 0x5;
+const POISON_PART: u64 = 0xdead;
+
+fn app() -> ServiceId {
+    ServiceId::new("app").unwrap()
+}
+
+/// Returns a request with these parts that was sent [`RUN`] before endpoint `number` crashed.
+fn lost(request: u128, parts: &[u64], number: u64, crashed_at: Millis) -> LostRequest {
+    LostRequest {
+        endpoint: EndpointIncarnation {
+            endpoint: EndpointId::new(format!("e{number}")).unwrap(),
+            incarnation: Incarnation(1),
+        },
+        service: app(),
+        request: Fingerprint(request),
+        parts: parts.to_vec(),
+        sent_at: crashed_at.since(RUN),
+        crashed_at,
     }
 }
 
+/// Returns the time of crash `number` of a series in which each request is sent after the last crash.
+fn crash_time(number: u64) -> Millis {
+    NOW + Millis::new(number * 300)
+}
+
+/// Evaluates twice, with time for entries to answer in between.
+fn settle(table: &mut CrashTable, now: Millis) -> Vec<CrashCause> {
+    table.evaluate(now);
+    table.evaluate(now + ANSWERED);
+    table.findings().quarantined.iter().copied().collect()
+}
+
+/// Returns a table of a service whose endpoints go on answering other requests.
+fn table() -> CrashTable {
+    let mut table = CrashTable::default();
+    table.record_service_answer(&app(), NOW + Millis::from_secs(600));
+    table
+}
+
+fn request(fingerprint: u128) -> CrashCause {
+    CrashCause::Request(Fingerprint(fingerprint))
+}
+
+fn part(digest: u64) -> CrashCause {
+    CrashCause::PromptPart(digest)
+}
+
 #[test]
 fn three_crashes_at_different_entries_quarantine_a_request() {
-    let mut table = CrashTable::default();
+    let mut table = table();
     for number in 0..3 {
-        assert!(!table.is_quarantined(POISON));
-        let mut entry_table = CrashTable::default();
-        entry_table.record_crash(POISON, incarnation(number), NOW);
-        table.merge(&entry_table.suspects(), NOW);
+        assert!(settle(&mut table, crash_time(number)).is_empty());
+        let reported = lost(POISON.0, &[], number, crash_time(number)).report(NOW);
+        table.record([&LostRequest {
+            crashed_at: crash_time(number),
+            sent_at: crash_time(number).since(RUN),
+            ..LostRequest::from_report(&reported, NOW)
+        }]);
     }
-    assert!(table.is_quarantined(POISON));
+    assert_eq!(settle(&mut table, crash_time(3)), [request(7)]);
+}
+
+#[test]
+fn report_keeps_the_times_by_another_clock() {
+    let here = lost(7, &[FIRST_PART], 1, NOW);
+    let report = here.report(NOW + Millis::new(40));
+    let there = LostRequest::from_report(&report, Millis::from_secs(9));
+    assert_eq!(there.crashed_at, Millis::new(8_960));
+    assert_eq!(there.sent_at, Millis::new(8_760));
+    assert_eq!(there.parts, here.parts);
 }
 
 #[test]
 fn crash_reported_repeatedly_counts_once() {
-    let mut table = CrashTable::default();
+    let mut table = table();
     for _ in 0..10 {
-        table.record_crash(POISON, incarnation(1), NOW);
+        table.record([&lost(POISON.0, &[], 1, NOW)]);
     }
-    assert!(!table.is_quarantined(POISON));
+    assert!(settle(&mut table, NOW).is_empty());
+    assert!(table.findings().suspected.is_empty());
 }
 
 #[test]
 fn suspects_expire() {
-    let mut table = CrashTable::default();
-    for number in 0..3 {
-        table.record_crash(POISON, incarnation(number), NOW);
+    let mut table = table();
+    for number in 0..2 {
+        table.record([&lost(POISON.0, &[], number, crash_time(number))]);
     }
-    // Suspects are kept for 120 s.
-    table.merge(&[], NOW + Millis::from_secs(121));
-    assert!(!table.is_quarantined(POISON));
+    // Crashes count for 120 s.
+    table.evaluate(crash_time(2) + Millis::from_secs(121));
     assert!(table.is_empty());
 }
 
 #[test]
 fn number_of_suspects_is_bounded() {
-    let mut table = CrashTable::default();
+    let mut table = table();
     for number in 0..5_000_u64 {
-        table.record_crash(
-            Fingerprint(u128::from(number)),
-            incarnation(number),
-            NOW + Millis::new(number),
-        );
+        let crashed_at = NOW + Millis::new(number);
+        table.record([&lost(number.into(), &[number], number, crashed_at)]);
     }
-    assert!(table.suspects().len() <= 512);
+    assert!(table.len() <= 512);
 }
 
 /// Half of the endpoints of a large fleet crash at once with full slots; a request that crashed one
 /// before must not be forgotten among those that were merely in flight.
 #[test]
 fn mass_crash_does_not_evict_a_request_that_crashed_endpoints_before() {
-    let mut table = CrashTable::default();
-    table.record_crash(POISON, incarnation(1), NOW);
-    table.record_crash(POISON, incarnation(2), NOW);
+    let mut table = table();
+    table.record([&lost(POISON.0, &[], 1, crash_time(0))]);
+    table.record([&lost(POISON.0, &[], 2, crash_time(1))]);
     for number in 0..2_000_u64 {
-        let innocent = Fingerprint(u128::from(1_000 + number));
-        table.record_crash(innocent, incarnation(3 + number % 40), NOW);
+        let endpoint = 3 + number % 40;
+        table.record([&lost(
+            u128::from(1_000 + number),
+            &[],
+            endpoint,
+            crash_time(2),
+        )]);
     }
-    table.record_crash(POISON, incarnation(100), NOW);
-    assert!(table.is_quarantined(POISON));
+    table.record([&lost(POISON.0, &[], 100, crash_time(3))]);
+    assert_eq!(settle(&mut table, crash_time(3)), [request(7)]);
 }
 
 #[test]
-fn merge_names_a_request_once_when_it_becomes_quarantined() {
+fn evaluation_names_a_cause_once_when_it_becomes_quarantined() {
+    let mut table = table();
+    let mut named = Vec::new();
+    for number in 0..5 {
+        table.record([&lost(POISON.0, &[], number, crash_time(number))]);
+        for _ in 0..3 {
+            named.extend(table.evaluate(crash_time(number) + ANSWERED).quarantined);
+        }
+    }
+    assert_eq!(named.len(), 1);
+}
+
+/// Plays a series of crashes, each by another request with the poison part, with a sound request of
+/// the same subject in flight at each of the endpoints.
+fn play_poison_part(table: &mut CrashTable, crashes: u64) {
+    for number in 0..crashes {
+        let crashed_at = crash_time(number);
+        let poison_parts = if number % 2 == 0 {
+            vec![FIRST_PART, POISON_PART]
+        } else {
+            vec![FIRST_PART, SUBJECT_PART, POISON_PART]
+        };
+        let sound = [FIRST_PART, SUBJECT_PART];
+        table.record([
+            &lost(u128::from(100 + number), &poison_parts, number, crashed_at),
+            &lost(u128::from(200 + number), &sound, number, crashed_at),
+        ]);
+    }
+}
+
+#[test]
+fn part_in_the_prompts_of_all_crashing_requests_is_quarantined_alone() {
+    let mut table = table();
+    play_poison_part(&mut table, 4);
+    assert_eq!(settle(&mut table, crash_time(4)), [part(POISON_PART)]);
+}
+
+/// A part that all requests of a route share is lost in each crash, also in unrelated ones.
+#[test]
+fn part_with_which_requests_are_answered_is_not_quarantined() {
+    let mut table = table();
+    play_poison_part(&mut table, 6);
+    for number in 6..9 {
+        let sound = lost(
+            u128::from(300 + number),
+            &[FIRST_PART],
+            number,
+            crash_time(number),
+        );
+        table.record([&sound]);
+    }
+    table.evaluate(crash_time(9));
+    let suspects: Vec<CrashCause> = table.findings().suspected.iter().map(|s| s.0).collect();
+    assert!(suspects.contains(&part(FIRST_PART)), "{suspects:?}");
+    table.record_answer(part(FIRST_PART), crash_time(9));
+    table.record_answer(part(SUBJECT_PART), crash_time(9));
+    assert_eq!(settle(&mut table, crash_time(9)), [part(POISON_PART)]);
+}
+
+#[test]
+fn entries_are_given_time_to_answer_before_a_part_is_quarantined() {
+    let mut table = table();
+    play_poison_part(&mut table, 4);
+    table.evaluate(crash_time(4));
+    assert!(table.findings().quarantined.is_empty());
+    assert!(table.findings().suspected.len() >= 2);
+}
+
+/// A request is sent to three endpoints in a row and loses each to the crash of another request.
+#[test]
+fn request_in_flight_at_crashes_of_a_poison_part_is_released() {
+    let mut table = table();
+    let innocent = 999;
+    for number in 0..3 {
+        let crashed_at = crash_time(number);
+        let poison = lost(
+            u128::from(100 + number),
+            &[FIRST_PART, POISON_PART],
+            number,
+            crashed_at,
+        );
+        let sound = lost(innocent, &[FIRST_PART, SUBJECT_PART], number, crashed_at);
+        table.record([&poison, &sound]);
+    }
+    assert_eq!(settle(&mut table, crash_time(3)), [request(innocent)]);
+    let fourth = lost(103, &[FIRST_PART, POISON_PART], 3, crash_time(7));
+    table.record([&fourth]);
+    assert_eq!(settle(&mut table, crash_time(7)), [part(POISON_PART)]);
+}
+
+#[test]
+fn one_request_that_crashes_endpoints_does_not_quarantine_its_parts() {
+    let mut table = table();
+    for number in 0..6 {
+        let parts = [FIRST_PART, SUBJECT_PART];
+        table.record([&lost(POISON.0, &parts, number, crash_time(number))]);
+    }
+    assert_eq!(settle(&mut table, crash_time(6)), [request(7)]);
+}
+
+/// 40 endpoints crash at once; requests of one subject were in flight at ten of them.
+#[test]
+fn endpoints_that_crash_together_quarantine_nothing() {
+    let mut table = table();
+    for number in 0..40 {
+        let parts = [FIRST_PART, number % 4];
+        table.record([&lost(u128::from(number), &parts, number, NOW)]);
+    }
+    assert!(settle(&mut table, NOW).is_empty());
+}
+
+/// Every request crashes its endpoint, as after a bad change of the endpoints.
+#[test]
+fn parts_are_not_quarantined_while_no_request_at_all_is_answered() {
     let mut table = CrashTable::default();
-    let reported: Vec<usize> = (0..5)
-        .map(|number| {
-            let mut entry_table = CrashTable::default();
-            entry_table.record_crash(POISON, incarnation(number), NOW);
-            table.merge(&entry_table.suspects(), NOW).len()
-        })
-        .collect();
-    assert_eq!(reported, vec![0, 0, 1, 0, 0]);
+    play_poison_part(&mut table, 8);
+    assert!(settle(&mut table, crash_time(8)).is_empty());
+}
+
+#[test]
+fn two_poison_parts_are_both_quarantined() {
+    let mut table = table();
+    play_poison_part(&mut table, 5);
+    for number in 5..10 {
+        let parts = [FIRST_PART, 0xbad];
+        table.record([&lost(
+            u128::from(400 + number),
+            &parts,
+            number,
+            crash_time(number),
+        )]);
+    }
+    table.record_answer(part(FIRST_PART), crash_time(11));
+    let quarantined = settle(&mut table, crash_time(11));
+    assert_eq!(quarantined, [part(0xbad), part(POISON_PART)]);
+}
+
+#[test]
+fn answer_to_a_request_with_a_quarantined_part_releases_it() {
+    let mut table = table();
+    play_poison_part(&mut table, 4);
+    settle(&mut table, crash_time(4));
+    table.record_answer(part(POISON_PART), crash_time(5));
+    let changes = table.evaluate(crash_time(5) + ANSWERED);
+    assert_eq!(changes.released, [part(POISON_PART)]);
+}
+
+#[test]
+fn quarantine_outlasts_the_evidence_and_ends_after_five_minutes() {
+    let mut table = table();
+    play_poison_part(&mut table, 4);
+    settle(&mut table, crash_time(4));
+    let quarantined_at = crash_time(4) + ANSWERED;
+    table.evaluate(quarantined_at + Millis::from_secs(299));
+    assert!(table.findings().quarantined.contains(&part(POISON_PART)));
+    table.evaluate(quarantined_at + Millis::from_secs(300));
+    assert!(table.findings().quarantined.is_empty());
+}
+
+#[test]
+fn part_that_crashes_an_endpoint_after_its_release_is_quarantined_again_at_once() {
+    let mut table = table();
+    play_poison_part(&mut table, 4);
+    settle(&mut table, crash_time(4));
+    let released_at = crash_time(4) + ANSWERED + Millis::from_secs(300);
+    table.evaluate(released_at);
+    let crashed_at = released_at + Millis::from_secs(2);
+    table.record([&lost(500, &[FIRST_PART, POISON_PART], 50, crashed_at)]);
+    let changes = table.evaluate(crashed_at);
+    assert_eq!(changes.quarantined, [(part(POISON_PART), 1)]);
+    // The second quarantine lasts ten minutes.
+    table.evaluate(crashed_at + Millis::from_secs(599));
+    assert!(table.findings().quarantined.contains(&part(POISON_PART)));
 }
--- a/papayatray_wire/src/peer/gateway.rs
+++ b/papayatray_wire/src/peer/gateway.rs
@@ -2,7 +2,9 @@
 
 use papayatray_core::clock::Millis;
 use papayatray_core::directory::Endpoint;
-use papayatray_core::gateway::crashes::Suspect;
+use papayatray_core::gateway::answers::AnswerReport;
+use papayatray_core::gateway::crashes::CrashCause;
+use papayatray_core::gateway::crashes::CrashReport;
 use papayatray_core::gateway::entry_register::EntryUpdates;
 use papayatray_core::gateway::load_table::EndpointWork;
 use papayatray_core::gateway::load_table::WorkUpdates;
@@ -62,9 +64,9 @@
     /// Number of the last change of the endpoints' loads, or 0 to get all.
     #[serde(default)]
     pub loads: u64,
-    /// Number of the last quarantined request.
+    /// Number of the last findings on crashes.
     #[serde(default)]
-    pub quarantined: u64,
+    pub findings: u64,
     /// Number of the last change of a rate limit.
     #[serde(default)]
     pub rate_statements: u64,
@@ -102,8 +104,11 @@
     /// Outstanding work of this entry's requests, by endpoint; `None` to a replica that is not the
     /// leader.
     pub loads: Option<Vec<(EndpointId, EndpointWork)>>,
-    /// Requests during which this entry has seen endpoints crash.
-    pub suspects: UpdateBatch<Suspect>,
+    /// Requests that endpoints were about to answer when they crashed.
+    pub crashes: UpdateBatch<CrashReport>,
+    /// Requests that endpoints have answered, as far as the replica has to know.
+    #[serde(default)]
+    pub answers: AnswerReport,
     /// Endpoints that stated to this entry that they are leaving.
     #[serde(default)]
     pub departures: UpdateBatch<Deregistration>,
@@ -115,6 +120,18 @@
     pub cached_prefixes: UpdateBatch<CachedPrefix>,
 }
 
+/// Findings of a control replica on what makes endpoints crash.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashFindings {
+    /// Number of the findings, within the incarnation of the replica.
+    pub number: u64,
+    /// Causes of crashes: no entry may send a request that brings one along.
+    pub quarantined: Vec<CrashCause>,
+    /// Possible causes, and the time since the last crash of each; an entry reports the answers to
+    /// requests with them.
+    pub suspected: Vec<(CrashCause, Millis)>,
+}
+
 /// Deregistration of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Deregistration {
@@ -168,8 +185,8 @@
     /// Changes of the outstanding work at endpoints, of all entries' requests; only from the
     /// leader.
     pub loads: Option<WorkUpdates>,
-    /// Requests that crashed so many endpoints that no entry may send them again.
-    pub quarantined: UpdateBatch<Suspect>,
+    /// Findings on what makes endpoints crash, if they changed.
+    pub findings: Option<CrashFindings>,
     /// Changes of rate limits that endpoints stated to other entries.
     #[serde(default)]
     pub rate_statements: UpdateBatch<RateStatement>,
--- a/papayatray_wire/src/peer/mod.rs
+++ b/papayatray_wire/src/peer/mod.rs
@@ -8,6 +8,7 @@
 pub use call::CallError;
 pub use call::decode_reply;
 pub use call::encode_call;
+pub use gateway::CrashFindings;
 pub use gateway::Cursor;
 pub use gateway::Deregistration;
 pub use gateway::EndpointUpdates;
--- a/papayatrayd/src/gateway/attempt.rs
+++ b/papayatrayd/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use super::fleet::Prompt;
 use super::fleet::SelectedEndpoint;
 use super::routed_request::RoutedRequest;
+use super::state::ANSWER_START;
 use super::state::Gateway;
 use super::state::LostAttempt;
 use crate::observe::Span;
@@ -54,6 +55,8 @@
     pub(super) answered_at: Option<Millis>,
     /// Time at which the first event of a stream arrived.
     pub(super) first_event_at: Option<Millis>,
+    /// Whether the answer has been recorded as one on which the endpoint did not crash.
+    is_answered: bool,
     prompt: Prompt,
     /// Prefill time still counted in the endpoint's backlog.
     prefill_ms: f64,
@@ -80,6 +83,7 @@
             started_at,
             answered_at: None,
             first_event_at: None,
+            is_answered: false,
             gateway: Arc::clone(gateway),
             endpoint,
         }
@@ -90,7 +94,7 @@
         LostAttempt {
             request: request.metadata.id.clone(),
             fingerprint: request.fingerprint,
-            parts: request.metadata.shared_parts().collect(),
+            parts: request.shared_parts.clone(),
             endpoint: self.endpoint.clone(),
             sent_at: self.started_at,
             answered_at: self.answered_at,
@@ -99,6 +103,23 @@
         }
     }
 
+    /// Records that an event arrived at the time `now`; some time after the first one, the endpoint
+    /// has got over the start of the answer.
+    pub(super) fn record_event(&mut self, request: &RoutedRequest, now: Millis) {
+        let first_event_at = *self.first_event_at.get_or_insert(now);
+        if now.since(first_event_at) >= ANSWER_START {
+            self.record_end(request);
+        }
+    }
+
+    /// Records that the endpoint answered without crashing.
+    pub(super) fn record_end(&mut self, request: &RoutedRequest) {
+        if !std::mem::replace(&mut self.is_answered, true) {
+            let began_at = self.first_event_at.unwrap_or(self.started_at);
+            self.gateway.record_answer(request, began_at);
+        }
+    }
+
     /// Removes this attempt's prefill from the endpoint's backlog.
     pub(super) fn record_prefill_done(&mut self) {
         let prefill_ms = std::mem::take(&mut self.prefill_ms);
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -4,6 +4,7 @@
 
 use http::HeaderValue;
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::crashes::CrashCause;
 use papayatray_core::gateway::slowness::ResponseKind;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::ModelId;
@@ -165,13 +166,10 @@
                 )
             });
         }
-        if self
-            .gateway
-            .crashes()
-            .is_quarantined(self.request.fingerprint)
-        {
+        if let Some(cause) = self.gateway.find_quarantined(&self.request) {
+            self.log_quarantine(cause);
             return Err(self.final_refusal(
-                "the request is quarantined: endpoints crashed while running it",
+                "the request or a part of its prompt is quarantined: endpoints crashed on it",
                 POISON_RETRY_AFTER,
             ));
         }
@@ -402,6 +400,16 @@
         }
     }
 
+    fn log_quarantine(&self, cause: CrashCause) {
+        self.gateway.metrics.count_event("quarantine_applied");
+        request_event(
+            &self.request.metadata.id,
+            true,
+            "quarantine_applied",
+            &[("cause", &cause), ("runs", &self.possible_runs)],
+        );
+    }
+
     fn log_attempt(
         &self,
         attempt: &InFlightAttempt,
--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -14,14 +14,12 @@
 use papayatray_core::directory::Directory;
 use papayatray_core::directory::Endpoint;
 use papayatray_core::gateway::crashes::CrashTable;
-use papayatray_core::gateway::crashes::Suspect;
 use papayatray_core::gateway::entry_register::EntryRegister;
 use papayatray_core::gateway::load_table::LoadTable;
 use papayatray_core::gateway::plan::Plan;
 use papayatray_core::gateway::prefix_directory::CachedPrefix;
 use papayatray_core::gateway::rate_limits::RateStatement;
 use papayatray_core::gateway::rollout::RolloutTable;
-use papayatray_core::gateway::updates::UpdateLog;
 use papayatray_core::gateway::updates::UpdateRelay;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::EndpointId;
@@ -46,8 +44,6 @@
 /// Suspects retained from all entries: those in flight at half of the endpoints of a large
 /// deployment, should they crash at once.
 const MAX_SUSPECTS: usize = 4_096;
-/// Quarantined requests retained for entries that start later.
-const MAX_QUARANTINED: usize = 256;
 /// Deregistrations retained for entries that sync late.
 const MAX_DEREGISTRATIONS: usize = 1_024;
 /// Cached-prefix updates retained for entries that sync late; covers some seconds of all entries'
@@ -85,8 +81,10 @@
     tallies: BTreeMap<VmId, Vec<ReleaseTally>>,
     loads: LoadTable,
     crashes: CrashTable,
-    /// Requests that were quarantined, for the entries.
-    quarantined: UpdateLog<Suspect>,
+    /// Number of the last change of the findings on crashes, and of the last one that entries have to
+    /// hear of at once.
+    last_findings: u64,
+    last_quarantine: u64,
     cached_prefixes: UpdateRelay<CachedPrefix>,
     rate_statements: UpdateRelay<RateStatement>,
 }
@@ -119,7 +117,9 @@
             tallies: BTreeMap::new(),
             loads: LoadTable::default(),
             crashes: CrashTable::with_capacity(MAX_SUSPECTS),
-            quarantined: UpdateLog::new(MAX_QUARANTINED),
+            // Entries have received number 0 before their first sync.
+            last_findings: 1,
+            last_quarantine: 0,
             cached_prefixes: UpdateRelay::new(MAX_PREFIX_UPDATES),
             rate_statements: UpdateRelay::new(MAX_RATE_STATEMENTS),
         };
@@ -162,7 +162,7 @@
         (endpoints, inner.entries.len())
     }
 
-    /// Returns the number of requests suspected of crashing endpoints.
+    /// Returns the number of requests and prompt parts with evidence that they crash endpoints.
     pub(super) fn suspect_count(&self) -> usize {
         self.inner().crashes.len()
     }
--- a/papayatrayd/src/gateway/control_state/sync.rs
+++ b/papayatrayd/src/gateway/control_state/sync.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::crashes::LostRequest;
 use papayatray_core::gateway::plan::Plan;
 use papayatray_core::gateway::release_evidence::EntryResults;
 use papayatray_core::gateway::rollout::RolloutTable;
 use papayatray_core::id::ServiceId;
+use papayatray_wire::peer::CrashFindings;
 use papayatray_wire::peer::Cursor;
 use papayatray_wire::peer::STANDBY_POLL_TIMEOUT;
 use papayatray_wire::peer::SyncReply;
@@ -17,8 +19,7 @@
 
 use super::ControlState;
 use super::Inner;
-use crate::observe::Level;
-use crate::observe::event;
+use crate::gateway::state::log_changes;
 
 /// Shortest time between two replies to one entry: changes that come together, as when many
 /// endpoints or entries start, are sent together.
@@ -29,8 +30,6 @@
 const STANDBY_ENTRY_TTL: Millis = Millis::new(3_500);
 /// Cached-prefix updates in one reply, so that a starting entry does not get all at once.
 const MAX_PREFIXES_PER_REPLY: usize = 256;
-/// Quarantined requests in one reply.
-const MAX_QUARANTINED_PER_REPLY: usize = 64;
 /// Changes of rate limits in one reply.
 const MAX_RATE_STATEMENTS_PER_REPLY: usize = 128;
 
@@ -98,6 +97,7 @@
         inner.applied.plan_version > known_plan
             || inner.applied.rollouts.changes() > versions.rollouts
             || cursor != versions.endpoints
+            || inner.last_quarantine > versions.findings
             || inner.applied.has_leader_lease(now) != request.expects_leader
     }
 
@@ -113,7 +113,7 @@
             versions.cached_prefixes = 0;
             versions.heartbeats = 0;
             versions.loads = 0;
-            versions.quarantined = 0;
+            versions.findings = 0;
             versions.rate_statements = 0;
         }
         let plan = applied
@@ -144,9 +144,7 @@
             wall: self.clock.wall(),
             controls: applied.controls.clone(),
             loads: is_current.then(|| inner.loads.updates_after(versions.loads)),
-            quarantined: inner
-                .quarantined
-                .batch_since(versions.quarantined, MAX_QUARANTINED_PER_REPLY),
+            findings: inner.findings_after(versions.findings, now),
             rate_statements: inner.rate_statements.updates_for(
                 &request.info.vm,
                 versions.rate_statements,
@@ -189,6 +187,29 @@
         }
     }
 
+    /// Evaluates the evidence on crashes of endpoints, if there is any.
+    pub fn evaluate_crashes(&self) {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        if !inner.crashes.needs_evaluation(now) {
+            return;
+        }
+        let before = inner.crashes.findings().clone();
+        let changes = inner.crashes.evaluate(now);
+        if *inner.crashes.findings() == before {
+            return;
+        }
+        inner.last_findings += 1;
+        if !changes.is_empty() {
+            inner.last_quarantine = inner.last_findings;
+        }
+        drop(inner);
+        log_changes(&changes, "control");
+        if !changes.is_empty() {
+            self.updated.notify(usize::MAX);
+        }
+    }
+
     /// Returns the results of a service's releases, by release and entry.
     pub(in crate::gateway) fn results(
         &self,
@@ -224,23 +245,30 @@
             Some(loads) => self.loads.report(vm, loads),
             None => self.loads.forget(vm),
         }
-        if request.suspects.updates.is_empty() {
-            return;
+        let lost = request.crashes.updates.iter();
+        let lost: Vec<LostRequest> = lost
+            .map(|report| LostRequest::from_report(report, now))
+            .collect();
+        self.crashes.record(&lost);
+        for (service, age) in &request.answers.services {
+            self.crashes.record_service_answer(service, now.since(*age));
         }
-        for suspect in self.crashes.merge(&request.suspects.updates, now) {
-            event(
-                Level::Warn,
-                "request_quarantined",
-                &[
-                    (
-                        "fingerprint",
-                        &format_args!("{:032x}", suspect.fingerprint.0),
-                    ),
-                    ("endpoints", &suspect.crashed.len()),
-                    ("suspects", &self.crashes.len()),
-                ],
-            );
-            self.quarantined.push(suspect);
+        for (cause, age) in &request.answers.causes {
+            self.crashes.record_answer(*cause, now.since(*age));
         }
     }
+
+    /// Returns the findings on crashes, unless number `seen` is the last.
+    fn findings_after(&self, seen: u64, now: Millis) -> Option<CrashFindings> {
+        let findings = self.crashes.findings();
+        (self.last_findings != seen).then(|| CrashFindings {
+            number: self.last_findings,
+            quarantined: findings.quarantined.iter().copied().collect(),
+            suspected: findings
+                .suspected
+                .iter()
+                .map(|(cause, crashed_at)| (*cause, now.since(*crashed_at)))
+                .collect(),
+        })
+    }
 }
--- a/papayatrayd/src/gateway/controller.rs
+++ b/papayatrayd/src/gateway/controller.rs
@@ -41,6 +41,7 @@
         loop {
             Timer::after(CHECK_INTERVAL.to_duration()).await;
             self.state.expire_entries();
+            self.state.evaluate_crashes();
             if !self.state.has_leader_lease() {
                 evidence_by_service.clear();
                 continue;
--- a/papayatrayd/src/gateway/daemon.rs
+++ b/papayatrayd/src/gateway/daemon.rs
@@ -289,6 +289,7 @@
     loop {
         Timer::after(MAINTENANCE_INTERVAL.to_duration()).await;
         gateway.connections.evict_expired(gateway.clock.now());
+        gateway.evaluate_crashes();
         let is_fresh = gateway.has_fresh_evidence();
         if is_fresh != was_fresh {
             was_fresh = is_fresh;
--- a/papayatrayd/src/gateway/dialect.rs
+++ b/papayatrayd/src/gateway/dialect.rs
@@ -57,10 +57,15 @@
         self.parts.get(shared).map(|part| part.digest)
     }
 
-    /// Returns the digests of the parts that other requests may share: all but the last.
-    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts.iter().take(shared).map(|part| part.digest)
+    /// Returns the digests of the parts that other requests may share, which are all but the last;
+    /// of more than `limit`, the last ones.
+    pub fn shared_parts(&self, limit: usize) -> Vec<u64> {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let skipped = shared.len().saturating_sub(limit);
+        shared[skipped..].iter().map(|part| part.digest).collect()
     }
 
     /// Returns two counts of tokens: of the shared prefix, which is all parts but the last, and of
--- a/papayatrayd/src/gateway/metrics.rs
+++ b/papayatrayd/src/gateway/metrics.rs
@@ -51,7 +51,7 @@
     pub endpoints: usize,
     /// Entries that are listed to callers.
     pub entries: usize,
-    /// Requests suspected of crashing endpoints.
+    /// Requests and prompt parts with evidence that they crash endpoints.
     pub suspects: usize,
     /// Whether this control replica holds the leader lease.
     pub is_leader: bool,
@@ -137,7 +137,7 @@
             ("entries", "Entries listed to callers", &self.entries),
             (
                 "suspects",
-                "Requests suspected of crashing endpoints",
+                "Requests and prompt parts with evidence that they crash endpoints",
                 &self.suspects,
             ),
             (
--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -286,6 +286,9 @@
             }
         }
         Some(Ok(body)) => {
+            if started.head.status.is_success() && started.metadata.has_run {
+                started.attempt.record_end(&attempts.request);
+            }
             let is_failure = started.head.status.is_server_error();
             if is_failure {
                 started.attempt.record_failure();
--- a/papayatrayd/src/gateway/routed_request.rs
+++ b/papayatrayd/src/gateway/routed_request.rs
@@ -32,6 +32,9 @@
 /// `Retry-After` while no endpoint can take a request.
 pub(super) const NO_ENDPOINT_RETRY_AFTER: Millis = Millis::new(600);
 
+/// Prompt parts of a request that are examined for crashes of endpoints; prompts have a few.
+const MAX_SHARED_PARTS: usize = 16;
+
 /// Header that carries the trace context between hops (W3C Trace Context).
 pub(super) const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 
@@ -59,6 +62,8 @@
     ///
     /// It is 0 until the body is set.
     pub(super) fingerprint: Fingerprint,
+    /// Digests of the prompt parts that other requests may share, in order; of many, the last ones.
+    pub(super) shared_parts: Vec<u64>,
     /// Span of the whole request.
     pub(super) span: Span,
 }
@@ -122,6 +127,7 @@
             fingerprint: Fingerprint(0),
             received_at,
             deadline: received_at + time_limit,
+            shared_parts: metadata.shared_parts(MAX_SHARED_PARTS),
             metadata,
             route,
         })
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -14,8 +14,6 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::arrivals::ArrivalBound;
 use papayatray_core::gateway::arrivals::ArrivalBudget;
-use papayatray_core::gateway::crashes::CrashTable;
-use papayatray_core::gateway::crashes::Suspect;
 use papayatray_core::gateway::entry_register::EntryList;
 use papayatray_core::gateway::entry_roster::EntryRoster;
 use papayatray_core::gateway::freshness;
@@ -27,7 +25,6 @@
 use papayatray_core::gateway::slowness::UsualPaces;
 use papayatray_core::gateway::table::RouteTable;
 use papayatray_core::gateway::updates::UpdateBatch;
-use papayatray_core::gateway::updates::UpdateLog;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Incarnation;
@@ -43,7 +40,10 @@
 mod releases;
 mod statements;
 
+pub(super) use self::crashes::ANSWER_START;
+use self::crashes::CrashView;
 pub(super) use self::crashes::LostAttempt;
+pub(super) use self::crashes::log_changes;
 pub(super) use self::entries::InFlightGuard;
 use super::connection_pool::ConnectionPool;
 use super::dialect::Dialect;
@@ -58,10 +58,6 @@
 use crate::observe::event;
 use crate::tasks::Tasks;
 
-/// Crash reports retained until the control replicas have received them: the requests of one entry
-/// that are in flight at the endpoints of a large deployment.
-const MAX_CRASH_REPORTS: usize = 1_024;
-
 /// Limits and intervals that hold for a whole deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -167,10 +163,8 @@
     latencies: Mutex<UsualLatencies>,
     /// Usual times for each event of a stream.
     paces: Mutex<UsualPaces>,
-    /// Requests suspected of crashing endpoints.
-    crashes: Mutex<CrashTable>,
-    /// Crashes that this entry has seen, for the control replicas.
-    crash_reports: Mutex<UpdateLog<Suspect>>,
+    /// What makes endpoints crash, as far as this entry knows.
+    crashes: Mutex<CrashView>,
     shutdown_stage: AtomicU8,
     in_flight: AtomicUsize,
 }
@@ -211,7 +205,6 @@
             latencies: Mutex::default(),
             paces: Mutex::default(),
             crashes: Mutex::default(),
-            crash_reports: Mutex::new(UpdateLog::new(MAX_CRASH_REPORTS)),
             shutdown_stage: AtomicU8::new(ShutdownStage::Serving as u8),
             in_flight: AtomicUsize::new(0),
             clock,
@@ -249,9 +242,7 @@
         if reply.is_current {
             self.set_leader_wall(reply.wall);
         }
-        if !reply.quarantined.updates.is_empty() {
-            self.crashes().merge(&reply.quarantined.updates, now);
-        }
+        self.apply_findings(control, reply.findings, reply.is_current);
         if let Some(loads) = &reply.loads {
             self.fleet().apply_loads(loads);
         }
@@ -346,7 +337,7 @@
             evidence_age: age,
             endpoints,
             entries: self.entries().len(),
-            suspects: self.crashes().len(),
+            suspects: self.suspect_count(),
             is_leader: false,
         })
     }
--- a/papayatrayd/src/gateway/state/crashes.rs
+++ b/papayatrayd/src/gateway/state/crashes.rs
@@ -1,25 +1,42 @@
 //! Endpoints that crash, and the requests that they ran.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::MutexGuard;
 
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::answers::AnswerLog;
+use papayatray_core::gateway::answers::AnswerReport;
+use papayatray_core::gateway::crashes::CrashCause;
+use papayatray_core::gateway::crashes::CrashReport;
 use papayatray_core::gateway::crashes::CrashTable;
-use papayatray_core::gateway::crashes::Suspect;
+use papayatray_core::gateway::crashes::FindingChanges;
+use papayatray_core::gateway::crashes::LostRequest;
+use papayatray_core::gateway::crashes::causes;
 use papayatray_core::gateway::updates::UpdateBatch;
+use papayatray_core::gateway::updates::UpdateLog;
 use papayatray_core::id::Fingerprint;
 use papayatray_core::suspicion::EndpointIncarnation;
+use papayatray_wire::peer::CrashFindings;
 
 use super::Gateway;
 use super::lock;
 use crate::gateway::connection_pool;
 use crate::gateway::fleet::SelectedEndpoint;
+use crate::gateway::routed_request::RoutedRequest;
 use crate::observe::Level;
 use crate::observe::event;
 
+/// Crash reports retained until the control replicas have received them: the requests of one entry
+/// that are in flight at the endpoints of a large deployment.
+const MAX_CRASH_REPORTS: usize = 1_024;
 /// Crash reports in one sync request.
 const MAX_REPORTS_PER_SYNC: usize = 64;
+/// Time for which the findings of a leader are used after it last confirmed them.
+const FINDINGS_TTL: Millis = Millis::from_secs(3);
+/// Time from the first event of a stream after which the endpoint has got over the start of the
+/// answer; crashes on the start follow within a tenth of a second.
+pub(in crate::gateway) const ANSWER_START: Millis = Millis::new(250);
 
 /// Attempt whose connection was lost.
 #[derive(Clone, Debug)]
@@ -48,6 +65,13 @@
         }
     }
 
+    /// Returns whether the endpoint had got over the start of the answer, so that the request is no
+    /// cause of the crash.
+    fn was_answered(&self) -> bool {
+        self.first_event_at
+            .is_some_and(|at| self.lost_at.since(at) >= ANSWER_START)
+    }
+
     fn log_crash(&self) {
         let parts: Vec<String> = self.parts.iter().map(|part| format!("{part:x}")).collect();
         let since = |start: Option<Millis>| {
@@ -71,20 +95,158 @@
     }
 }
 
+impl From<LostAttempt> for LostRequest {
+    fn from(lost: LostAttempt) -> Self {
+        Self {
+            endpoint: EndpointIncarnation {
+                endpoint: lost.endpoint.id,
+                incarnation: lost.endpoint.incarnation,
+            },
+            service: lost.endpoint.service,
+            request: lost.fingerprint,
+            parts: lost.parts,
+            sent_at: lost.sent_at,
+            crashed_at: lost.lost_at,
+        }
+    }
+}
+
+/// Findings received from one control replica.
+#[derive(Debug, Default)]
+struct ReceivedFindings {
+    quarantined: BTreeSet<CrashCause>,
+    /// Suspects, and the time of the last crash of each by the clock of this entry.
+    suspected: Vec<(CrashCause, Millis)>,
+    /// Whether the replica was the leader when it confirmed the findings.
+    is_from_leader: bool,
+    updated_at: Millis,
+}
+
+/// What makes endpoints crash, as far as an entry knows.
+#[derive(Debug)]
+pub(super) struct CrashView {
+    /// Evidence from this entry's own requests, used while no leader can be reached.
+    own: CrashTable,
+    /// Crashes that this entry has seen, for the control replicas.
+    reports: UpdateLog<LostRequest>,
+    answers: AnswerLog,
+    /// Findings by the address of the control replica.
+    findings: BTreeMap<String, ReceivedFindings>,
+}
+
+impl Default for CrashView {
+    fn default() -> Self {
+        Self {
+            own: CrashTable::default(),
+            reports: UpdateLog::new(MAX_CRASH_REPORTS),
+            answers: AnswerLog::default(),
+            findings: BTreeMap::new(),
+        }
+    }
+}
+
+impl CrashView {
+    /// Returns the first of these causes that is quarantined.
+    fn find_quarantined<I>(&self, causes: I, now: Millis) -> Option<CrashCause>
+    where
+        I: IntoIterator<Item = CrashCause>,
+    {
+        let is_leading = |received: &ReceivedFindings| {
+            received.is_from_leader && now.since(received.updated_at) < FINDINGS_TTL
+        };
+        let has_leading = self.findings.values().any(is_leading);
+        let is_quarantined = |cause: &CrashCause| {
+            let mut used = self.findings.values();
+            used.any(|r| (is_leading(r) || !has_leading) && r.quarantined.contains(cause))
+                || (!has_leading && self.own.findings().quarantined.contains(cause))
+        };
+        causes.into_iter().find(is_quarantined)
+    }
+}
+
 /// # Crashes
 impl Gateway {
-    pub(in crate::gateway) fn crashes(&self) -> MutexGuard<'_, CrashTable> {
-        lock(&self.crashes)
+    /// Returns the number of requests and prompt parts with evidence that they crash endpoints.
+    pub fn suspect_count(&self) -> usize {
+        lock(&self.crashes).own.len()
     }
 
-    /// Returns the requests suspected of crashing endpoints.
-    pub fn suspects(&self) -> Vec<Suspect> {
-        self.crashes().suspects()
+    /// Returns what a request brings along that crashes endpoints, if anything does.
+    pub(in crate::gateway) fn find_quarantined(
+        &self,
+        request: &RoutedRequest,
+    ) -> Option<CrashCause> {
+        let causes = causes(request.fingerprint, &request.shared_parts);
+        lock(&self.crashes).find_quarantined(causes, self.clock.now())
     }
 
     /// Returns the next crashes that this entry has seen, after report number `number`.
-    pub fn crash_reports_since(&self, number: u64) -> UpdateBatch<Suspect> {
-        lock(&self.crash_reports).batch_since(number, MAX_REPORTS_PER_SYNC)
+    pub fn crash_reports_since(&self, number: u64) -> UpdateBatch<CrashReport> {
+        let now = self.clock.now();
+        let batch = lock(&self.crashes)
+            .reports
+            .batch_since(number, MAX_REPORTS_PER_SYNC);
+        UpdateBatch {
+            last_number: batch.last_number,
+            updates: batch.updates.iter().map(|lost| lost.report(now)).collect(),
+        }
+    }
+
+    /// Returns the answers that the replica at `control` has to know of.
+    pub fn answer_report(&self, control: &str) -> AnswerReport {
+        let crashes = lock(&self.crashes);
+        let received = crashes.findings.get(control);
+        received.map_or_else(AnswerReport::default, |received| {
+            crashes
+                .answers
+                .report(&received.suspected, self.clock.now())
+        })
+    }
+
+    /// Records that the endpoint began at `began_at` to answer the request, and did not crash.
+    pub(in crate::gateway) fn record_answer(&self, request: &RoutedRequest, began_at: Millis) {
+        let causes = || causes(request.fingerprint, &request.shared_parts);
+        let mut crashes = lock(&self.crashes);
+        crashes.answers.record(&request.service, causes(), began_at);
+        crashes
+            .own
+            .record_service_answer(&request.service, began_at);
+        for cause in causes() {
+            crashes.own.record_answer(cause, began_at);
+        }
+    }
+
+    /// Applies the findings of a control replica, or confirms those that it sent before.
+    pub(super) fn apply_findings(
+        &self,
+        control: &str,
+        findings: Option<CrashFindings>,
+        is_leader: bool,
+    ) {
+        let now = self.clock.now();
+        let mut crashes = lock(&self.crashes);
+        let received = crashes.findings.entry(control.to_owned()).or_default();
+        received.is_from_leader = is_leader;
+        received.updated_at = now;
+        let Some(findings) = findings else {
+            return;
+        };
+        received.quarantined = findings.quarantined.into_iter().collect();
+        let suspected = findings.suspected.into_iter();
+        received.suspected = suspected
+            .map(|(cause, age)| (cause, now.since(age)))
+            .collect();
+    }
+
+    /// Evaluates the evidence from this entry's own requests, if there is any.
+    pub(in crate::gateway) fn evaluate_crashes(&self) {
+        let now = self.clock.now();
+        let mut crashes = lock(&self.crashes);
+        if crashes.own.needs_evaluation(now) {
+            let changes = crashes.own.evaluate(now);
+            drop(crashes);
+            log_changes(&changes, "entry");
+        }
     }
 
     /// Probes an endpoint whose connection was lost; if it refuses connections, records a crash.
@@ -98,20 +260,37 @@
             }
             lost.log_crash();
             gateway.metrics.count_event("request_lost_in_crash");
-            let crashed = EndpointIncarnation {
-                endpoint: lost.endpoint.id,
-                incarnation: lost.endpoint.incarnation,
-            };
-            let now = gateway.clock.now();
+            if lost.was_answered() {
+                return;
+            }
+            let lost = LostRequest::from(lost);
+            let mut crashes = lock(&gateway.crashes);
+            crashes.own.record([&lost]);
             // The control replicas learn of it with the next sync: woken by each request that was
             // lost in a crash, all entries would sync with all replicas at once.
-            lock(&gateway.crash_reports).push(Suspect {
-                fingerprint: lost.fingerprint,
-                crashed: BTreeSet::from([crashed.clone()]),
-            });
-            gateway
-                .crashes()
-                .record_crash(lost.fingerprint, crashed, now);
+            crashes.reports.push(lost);
         });
     }
 }
+
+/// Logs what `evaluated_by`, an entry or a control replica, quarantines and releases.
+pub(in crate::gateway) fn log_changes(changes: &FindingChanges, evaluated_by: &str) {
+    for (cause, crashes) in &changes.quarantined {
+        event(
+            Level::Warn,
+            "cause_quarantined",
+            &[
+                ("cause", cause),
+                ("crashes", crashes),
+                ("by", &evaluated_by),
+            ],
+        );
+    }
+    for cause in &changes.released {
+        event(
+            Level::Info,
+            "cause_released",
+            &[("cause", cause), ("by", &evaluated_by)],
+        );
+    }
+}
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -237,6 +237,7 @@
                 }
                 StreamItem::End => {
                     self.outcome = "whole";
+                    stream.started.attempt.record_end(&self.attempts.request);
                     stream.started.return_connection();
                     return Ok(None);
                 }
@@ -359,8 +360,9 @@
                     continue;
                 }
                 self.last_progress = attempts.gateway.clock.now();
-                let first_event_at = &mut self.started.attempt.first_event_at;
-                first_event_at.get_or_insert(self.last_progress);
+                self.started
+                    .attempt
+                    .record_event(&attempts.request, self.last_progress);
                 attempts.gateway.record_event(
                     &self.started.attempt.endpoint,
                     &mut self.pace,
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -34,7 +34,7 @@
 /// Longest back-off after a failed call.
 const MAX_BACKOFF: Millis = Millis::new(1_000);
 
-/// Syncs an entry with every control replica: reports the entry's loads, tallies and suspects, and
+/// Syncs an entry with every control replica: reports the entry's loads, tallies and crashes, and
 /// receives the plan, the roll-outs and the lists of endpoints and entries.
 #[derive(Debug)]
 pub(super) struct SyncClient {
@@ -56,8 +56,8 @@
     heartbeats_received: u64,
     /// Number of the last change of loads received since the replica became the leader.
     loads_received: u64,
-    /// Number of the last quarantined request received.
-    quarantined_received: u64,
+    /// Number of the last findings on crashes received.
+    findings_received: u64,
     /// Number of the last change of a rate limit received.
     rate_statements_received: u64,
     /// Number of the last change of a rate limit that the replica has acknowledged.
@@ -121,7 +121,7 @@
                 Some(Ok(reply)) => {
                     sync.prefixes_acknowledged = request.cached_prefixes.last_number;
                     sync.departures_acknowledged = request.departures.last_number;
-                    sync.crashes_acknowledged = request.suspects.last_number;
+                    sync.crashes_acknowledged = request.crashes.last_number;
                     sync.rate_statements_acknowledged = request.rate_statements.last_number;
                     self.apply_reply(&address, &mut sync, reply, sent_at);
                     sync.record_success(&address);
@@ -178,7 +178,7 @@
                 cached_prefixes: sync.prefixes_received,
                 heartbeats: sync.heartbeats_received,
                 loads: sync.loads_received,
-                quarantined: sync.quarantined_received,
+                findings: sync.findings_received,
                 rate_statements: sync.rate_statements_received,
             },
             poll_timeout: if is_standby {
@@ -190,7 +190,8 @@
             wants_plan,
             tallies: gateway.tallies(),
             loads,
-            suspects: gateway.crash_reports_since(sync.crashes_acknowledged),
+            crashes: gateway.crash_reports_since(sync.crashes_acknowledged),
+            answers: gateway.answer_report(address),
             departures,
             rate_statements: gateway.rate_statements_since(sync.rate_statements_acknowledged),
             cached_prefixes,
@@ -234,7 +235,9 @@
         self.cursor = reply.endpoints.cursor;
         self.named_plan = reply.version;
         self.heartbeats_received = reply.endpoints.heartbeats;
-        self.quarantined_received = reply.quarantined.last_number;
+        if let Some(findings) = &reply.findings {
+            self.findings_received = findings.number;
+        }
         self.rate_statements_received = reply.rate_statements.last_number;
         // Another leader numbers the loads anew, so the first reply of a leader has all of them.
         self.loads_received = reply.loads.as_ref().map_or(0, |loads| loads.number);
--- a/papayatrayd/tests/gateway/relay.rs
+++ b/papayatrayd/tests/gateway/relay.rs
@@ -6,11 +6,8 @@
 
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::arrivals::ArrivalBound;
-use papayatray_core::gateway::crashes::Suspect;
-use papayatray_core::id::EndpointId;
+use papayatray_core::gateway::crashes::CrashCause;
 use papayatray_core::id::Fingerprint;
-use papayatray_core::id::Incarnation;
-use papayatray_core::suspicion::EndpointIncarnation;
 use papayatrayd::observe::SystemClock;
 
 use crate::endpoint::FakeEndpoint;
@@ -292,18 +289,12 @@
 }
 
 #[test]
-fn request_that_crashed_three_endpoints_is_quarantined() {
+fn quarantined_request_is_refused_and_no_other() {
     let fake = healthy("ok");
     let rig = Rig::start(&[&fake]);
     assert_eq!(rig.request("/safe/", "").status, 200);
-    let crashed = (0..3).map(|number| EndpointIncarnation {
-        endpoint: EndpointId::new(format!("gone-{number}")).unwrap(),
-        incarnation: Incarnation(1),
-    });
-    rig.apply_suspects(vec![Suspect {
-        fingerprint: fingerprint("/safe/", "body"),
-        crashed: crashed.collect(),
-    }]);
+    let poison = CrashCause::Request(fingerprint("/safe/", "body"));
+    rig.apply_quarantined(vec![poison]);
     assert_eq!(rig.request("/safe/", "").status, 503);
     assert_eq!(
         rig.request_with_body("/safe/", "", "another body").status,
@@ -312,6 +303,25 @@
     assert_eq!(fake.requests().len(), 2);
 }
 
+#[test]
+fn request_with_a_quarantined_prompt_part_is_refused_whatever_else_it_holds() {
+    let fake = healthy("ok");
+    let rig = Rig::start(&[&fake]);
+    rig.apply_quarantined(vec![CrashCause::PromptPart(0xdead)]);
+    for parts in ["dead:50,1:9", "aa:100,dead:50,2:9", "dead:50,bb:7,3:9"] {
+        let headers = format!("Papayatray-Prefix: {parts}\r\n");
+        let refused = rig.request_with_body("/safe/", &headers, parts);
+        assert_eq!(refused.status, 503, "{parts}");
+        assert!(refused.retry_after() >= 60.0, "{}", refused.head);
+    }
+    // The last part is the request's own and shared with no other.
+    for parts in ["aa:100,bb:7,4:9", "aa:100,dead:50"] {
+        let headers = format!("Papayatray-Prefix: {parts}\r\n");
+        assert_eq!(rig.request("/safe/", &headers).status, 200, "{parts}");
+    }
+    assert_eq!(fake.requests().len(), 2);
+}
+
 #[test]
 fn lost_response_without_a_crash_raises_no_suspicion() {
     let closing_endpoint = cut_off("");
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -17,7 +17,7 @@
 use papayatray_core::directory::Load;
 use papayatray_core::directory::Offer;
 use papayatray_core::gateway::arrivals::ArrivalBound;
-use papayatray_core::gateway::crashes::Suspect;
+use papayatray_core::gateway::crashes::CrashCause;
 use papayatray_core::gateway::entry_register::EntryUpdates;
 use papayatray_core::gateway::plan::ApiKey;
 use papayatray_core::gateway::plan::Organisation;
@@ -26,7 +26,6 @@
 use papayatray_core::gateway::plan::RouteKind;
 use papayatray_core::gateway::plan::Service;
 use papayatray_core::gateway::plan::Target;
-use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Incarnation;
@@ -36,6 +35,7 @@
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
 use papayatray_core::lease::EntryInfo;
+use papayatray_wire::peer::CrashFindings;
 use papayatray_wire::peer::EndpointUpdates;
 use papayatray_wire::peer::SyncReply;
 use papayatrayd::gateway::Bounds;
@@ -300,22 +300,24 @@
         self.gateway.apply_sync("control", reply, now);
     }
 
-    /// Applies an update with the requests that other entries suspect of crashing endpoints.
-    pub fn apply_suspects(&self, suspects: Vec<Suspect>) {
+    /// Applies an update of the leader with what is quarantined for crashing endpoints.
+    pub fn apply_quarantined(&self, quarantined: Vec<CrashCause>) {
         let reply = SyncReply {
-            quarantined: UpdateBatch {
-                last_number: suspects.len() as u64,
-                updates: suspects,
-            },
+            is_current: true,
+            findings: Some(CrashFindings {
+                number: 1,
+                quarantined,
+                suspected: Vec::new(),
+            }),
             ..SyncReply::default()
         };
         let now = self.gateway.clock.now();
         self.gateway.apply_sync("control", reply, now);
     }
 
-    /// Returns the number of requests that the entry suspects of crashing endpoints.
+    /// Returns the number of requests and prompt parts that the entry suspects of crashing endpoints.
     pub fn suspect_count(&self) -> usize {
-        self.gateway.suspects().len()
+        self.gateway.suspect_count()
     }
 
     /// Sends a request with a short body and returns the complete response.
--- a/papayatrayd/tests/gateway/sync.rs
+++ b/papayatrayd/tests/gateway/sync.rs
@@ -1,15 +1,18 @@
 //! Sync of entries with a control replica: what each is told, and how often.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
-use papayatray_core::gateway::crashes::Suspect;
+use papayatray_core::gateway::answers::AnswerReport;
+use papayatray_core::gateway::crashes::CrashCause;
+use papayatray_core::gateway::crashes::CrashReport;
 use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Fingerprint;
 use papayatray_core::id::Incarnation;
+use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
 use papayatray_core::lease::EntryInfo;
 use papayatray_core::suspicion::EndpointIncarnation;
@@ -21,6 +24,7 @@
 use papayatrayd::observe::SystemClock;
 
 use crate::endpoint::FakeEndpoint;
+use crate::rig::AdvancedClock;
 use crate::rig::announcement;
 
 /// Entries of the largest deployment that these tests play.
@@ -48,7 +52,8 @@
         wants_plan: true,
         tallies: Vec::new(),
         loads: None,
-        suspects: UpdateBatch::default(),
+        crashes: UpdateBatch::default(),
+        answers: AnswerReport::default(),
         departures: UpdateBatch::<Deregistration>::default(),
         rate_statements: UpdateBatch::default(),
         cached_prefixes: UpdateBatch::default(),
@@ -62,7 +67,7 @@
             endpoints: reply.endpoints.cursor,
             entries: reply.entries.number,
             heartbeats: reply.endpoints.heartbeats,
-            quarantined: reply.quarantined.last_number,
+            findings: reply.findings.as_ref().map_or(1, |f| f.number),
             ..GatewayVersions::default()
         },
         ..first_request(vm)
@@ -73,21 +78,26 @@
     smol::block_on(replica.sync(request))
 }
 
-fn suspect(fingerprint: u128, endpoint: usize) -> Suspect {
-    Suspect {
-        fingerprint: Fingerprint(fingerprint),
-        crashed: BTreeSet::from([EndpointIncarnation {
+/// Returns the report on a request that was sent 100 ms before its endpoint crashed.
+fn lost(fingerprint: u128, endpoint: usize, age: Millis) -> CrashReport {
+    CrashReport {
+        endpoint: EndpointIncarnation {
             endpoint: EndpointId::new(format!("e-{endpoint}")).unwrap(),
             incarnation: Incarnation(1),
-        }]),
+        },
+        service: ServiceId::new("app").unwrap(),
+        request: Fingerprint(fingerprint),
+        parts: Vec::new(),
+        age,
+        ran_for: Millis::new(100),
     }
 }
 
-fn reporting(vm: &str, suspects: Vec<Suspect>) -> SyncRequest {
+fn reporting(vm: &str, reports: Vec<CrashReport>) -> SyncRequest {
     SyncRequest {
-        suspects: UpdateBatch {
-            last_number: suspects.len() as u64,
-            updates: suspects,
+        crashes: UpdateBatch {
+            last_number: reports.len() as u64,
+            updates: reports,
         },
         ..first_request(vm)
     }
@@ -97,30 +107,32 @@
 /// three entries. Each entry must hear of the poison request once, and of no other.
 #[test]
 fn entries_hear_of_quarantined_requests_only_and_once_each() {
-    let replica = replica();
+    let clock = Arc::new(AdvancedClock::default());
+    let replica = ControlState::new(Arc::clone(&clock) as Arc<dyn Clock>, None);
     for endpoint in 0..40 {
-        let in_flight = (0..30).map(|n| suspect(1_000 + endpoint as u128 * 100 + n, endpoint));
+        let in_flight =
+            (0..30).map(|n| lost(1_000 + endpoint as u128 * 100 + n, endpoint, Millis::ZERO));
         sync(
             &replica,
             reporting(&format!("vm-{endpoint}"), in_flight.collect()),
         );
     }
     for crash in 0..3 {
-        let request = reporting(&format!("vm-{crash}"), vec![suspect(7, 50 + crash)]);
-        sync(&replica, request);
+        clock.advance(Millis::new(200));
+        let report = lost(7, 50 + crash, Millis::ZERO);
+        sync(&replica, reporting(&format!("vm-{crash}"), vec![report]));
     }
+    replica.evaluate_crashes();
+    clock.advance(Millis::from_secs(1));
+    replica.evaluate_crashes();
     for number in 0..ENTRIES {
         let vm = format!("vm-{number}");
         let first = sync(&replica, first_request(&vm));
-        let fingerprints: Vec<_> = first
-            .quarantined
-            .updates
-            .iter()
-            .map(|s| s.fingerprint)
-            .collect();
-        assert_eq!(fingerprints, [Fingerprint(7)]);
+        let findings = first.findings.as_ref().unwrap();
+        assert_eq!(findings.quarantined, [CrashCause::Request(Fingerprint(7))]);
+        assert!(findings.suspected.is_empty());
         let second = sync(&replica, next_request(&vm, &first));
-        assert!(second.quarantined.updates.is_empty());
+        assert_eq!(second.findings, None);
     }
 }
 
