fix(gateway): put crashes down to the strongest cause, and let earlier answers count

Causes: entries were told the time of a suspect's last crash and reported only answers after it, so answers between two crashes never counted. A cause was chosen while a stronger one still waited for the entries' answers. Requests that were lost while the endpoint still read their prompt weighed as much as those whose answer had started, although endpoints crash as they begin an answer. Five crashes of two requests that were tried side by side made only three in succession, of four that were needed.

Change: suspects are published with the first crash that counts; a weaker cause waits for a stronger one; a prompt part needs four crashes at the start of an answer, three of them in succession, or eight in succession without.

--- a/papayatray_core/src/gateway/answers.rs
+++ b/papayatray_core/src/gateway/answers.rs
@@ -17,8 +17,8 @@
 /// Last answers that one entry reports to a control replica.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerReport {
-    /// Suspects of the replica with which a request was answered after the suspect's last crash, and
-    /// the time since that answer began.
+    /// Suspects of the replica with which a request was answered after the first crash that counts,
+    /// and the time since that answer began.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub causes: Vec<(CrashCause, Millis)>,
     /// Time since the last answer of each service began.
@@ -59,7 +59,8 @@
         self.causes.retain(|_, answered_at| *answered_at > median);
     }
 
-    /// Returns the report to a replica with these suspects, each with the time of its last crash.
+    /// Returns the report to a replica with these suspects, each with the time of the first crash that
+    /// counts against it.
     ///
     /// Without suspects it is empty.
     pub fn report(&self, suspected: &[(CrashCause, Millis)], now: Millis) -> AnswerReport {
--- a/papayatray_core/src/gateway/attribution.rs
+++ b/papayatray_core/src/gateway/attribution.rs
@@ -15,9 +15,14 @@
 
 /// Crashes in succession at which a request is quarantined.
 const REQUEST_CRASHES: usize = 3;
-/// Crashes in succession at which a prompt part is quarantined; one more than the attempts of one
-/// request usually reach, since sound requests may share the part.
+/// Crashes at the start of an answer at which a prompt part is quarantined; one more than the attempts
+/// of one request usually reach, since sound requests may share the part.
 const PART_CRASHES: usize = 4;
+/// Crashes in succession among these.
+const PART_SUCCESSION: usize = 3;
+/// Crashes in succession at which a prompt part is quarantined although no answer had started, as when
+/// the bytes of the start are lost with the connection.
+const UNSTARTED_PART_CRASHES: usize = 8;
 /// Different requests among the crashes of a prompt part; of fewer, the request is the cause.
 const MIN_REQUESTS: usize = 2;
 /// Crashes in succession at which a cause is a suspect.
@@ -49,7 +54,7 @@
     /// Causes of crashes.
     pub(super) chosen: BTreeSet<CrashCause>,
     /// Possible causes of the other crashes, those with the most crashes first, and the time of the
-    /// last crash of each.
+    /// first crash of each that counts.
     pub(super) suspected: Vec<(CrashCause, Millis)>,
 }
 
@@ -68,7 +73,8 @@
     let mut chosen = BTreeSet::new();
     loop {
         open.retain(|candidate| !chosen.contains(&candidate.cause));
-        let Some(next) = strongest(&open, &explained) else {
+        // A stronger cause that entries have not answered for yet must not be passed over.
+        let Some(next) = strongest(&open, &explained).filter(|next| next.may_be_chosen) else {
             break;
         };
         explained.extend(next.crashes.keys());
@@ -87,9 +93,9 @@
                 &explained_by_parts
             };
             let crashes = unexplained(candidate, explained);
-            let last = crashes.last()?.crashed_at;
+            let first = crashes.first()?.crashed_at;
             let succession = succession(&crashes);
-            (succession >= SUSPECT_CRASHES).then_some((succession, candidate.cause, last))
+            (succession >= SUSPECT_CRASHES).then_some((succession, candidate.cause, first))
         })
         .collect();
     ranked.sort_by_key(|(succession, ..)| std::cmp::Reverse(*succession));
@@ -97,22 +103,28 @@
         chosen,
         suspected: ranked
             .into_iter()
-            .map(|(_, cause, last)| (cause, last))
+            .map(|(_, cause, first)| (cause, first))
             .collect(),
     }
 }
 
-/// Returns the cause with the most unexplained crashes among those with enough of them.
+/// Returns the cause with the most unexplained crashes, if they are enough.
 ///
 /// Of prompt parts with almost as many, the one at the latest position is returned; of a request and
-/// a part with as many, the request.
+/// a part with as many, the request. While a prompt part has far more crashes than any cause with
+/// enough of them, it may turn out to be the cause, so none is returned.
 fn strongest<'a>(open: &[Candidate<'a>], explained: &BTreeSet<CrashId>) -> Option<Candidate<'a>> {
-    let counted = open.iter().filter_map(|candidate| {
+    let mut max_count = 0;
+    let mut counted: Vec<(usize, &Candidate<'a>)> = Vec::new();
+    for candidate in open {
         let crashes = unexplained(candidate, explained);
-        (candidate.may_be_chosen && is_enough(candidate, &crashes))
-            .then_some((crashes.len(), candidate))
-    });
-    let counted: Vec<(usize, &Candidate<'a>)> = counted.collect();
+        max_count = max_count.max(crashes.len());
+        if is_enough(candidate, &crashes) {
+            counted.push((crashes.len(), candidate));
+        }
+    }
+    let min_count = max_count as f64 * MIN_SPECIFIC_SHARE;
+    counted.retain(|(count, candidate)| is_request(candidate) || *count as f64 >= min_count);
     let (most, first) = counted
         .iter()
         .max_by_key(|(count, candidate)| (*count, is_request(candidate), candidate.depth))?;
@@ -169,5 +181,10 @@
     // Where no request at all is answered, the endpoints crash for a reason of their own.
     let is_any_answered = candidate.answered_at >= Some(first.crashed_at);
     let requests: BTreeSet<_> = crashes.iter().map(|crash| crash.request).collect();
-    is_any_answered && requests.len() >= MIN_REQUESTS && succession(crashes) >= PART_CRASHES
+    let started = crashes.iter().filter(|crash| crash.has_started);
+    let started: Vec<Crash> = started.copied().collect();
+    is_any_answered
+        && requests.len() >= MIN_REQUESTS
+        && ((started.len() >= PART_CRASHES && succession(&started) >= PART_SUCCESSION)
+            || succession(crashes) >= UNSTARTED_PART_CRASHES)
 }
--- a/papayatray_core/src/gateway/crashes.rs
+++ b/papayatray_core/src/gateway/crashes.rs
@@ -84,6 +84,8 @@
     pub sent_at: Millis,
     /// Time at which the connection was lost.
     pub crashed_at: Millis,
+    /// Whether the endpoint had started the answer.
+    pub has_started: bool,
 }
 
 /// [`LostRequest`] as one process reports it to another, whose clock differs.
@@ -101,6 +103,8 @@
     pub age: Millis,
     /// Time from sending the request to the crash.
     pub ran_for: Millis,
+    /// Whether the endpoint had started the answer.
+    pub has_started: bool,
 }
 
 impl LostRequest {
@@ -113,6 +117,7 @@
             parts: self.parts.clone(),
             age: now.since(self.crashed_at),
             ran_for: self.crashed_at.since(self.sent_at),
+            has_started: self.has_started,
         }
     }
 
@@ -126,6 +131,7 @@
             parts: report.parts.clone(),
             sent_at: crashed_at.since(report.ran_for),
             crashed_at,
+            has_started: report.has_started,
         }
     }
 }
@@ -135,8 +141,8 @@
 pub struct Findings {
     /// Causes of crashes: no entry may send a request that brings one along.
     pub quarantined: BTreeSet<CrashCause>,
-    /// Causes that may be quarantined soon, and the time of the last crash of each. An entry at which
-    /// a request with one began to be answered after that crash has to say so.
+    /// Causes that may be quarantined soon, and the time of the first crash of each that counts. An
+    /// entry at which a request with one began to be answered after that crash has to say so.
     pub suspected: Vec<(CrashCause, Millis)>,
 }
 
@@ -162,6 +168,7 @@
     pub(super) request: Fingerprint,
     pub(super) sent_at: Millis,
     pub(super) crashed_at: Millis,
+    pub(super) has_started: bool,
 }
 
 /// Number that stands for an endpoint incarnation in a [`CrashTable`].
@@ -284,6 +291,7 @@
                 request: lost.request,
                 sent_at: lost.sent_at,
                 crashed_at: lost.crashed_at,
+                has_started: lost.has_started,
             };
             for (depth, cause) in causes(lost.request, &lost.parts).enumerate() {
                 let record = self.records.entry(cause).or_insert_with(|| Record {
@@ -297,9 +305,9 @@
                 });
                 record.depth = record.depth.max(depth);
                 let known = record.crashes.entry(id).or_insert(crash);
-                // Of several requests at the endpoint, the one sent last says most about the order of
-                // crashes.
-                if crash.sent_at > known.sent_at {
+                // Of several requests at the endpoint, one whose answer had started is the likeliest
+                // cause, and the one sent last says most about the order of crashes.
+                if (crash.has_started, crash.sent_at) > (known.has_started, known.sent_at) {
                     *known = crash;
                 }
             }
--- a/papayatray_core/tests/core/gateway_crashes.rs
+++ b/papayatray_core/tests/core/gateway_crashes.rs
@@ -38,6 +38,7 @@
         parts: parts.to_vec(),
         sent_at: crashed_at.since(RUN),
         crashed_at,
+        has_started: true,
     }
 }
 
@@ -175,6 +176,25 @@
     }
 }
 
+/// Endpoints that crash by themselves lose mostly requests whose answers have not started.
+#[test]
+fn part_that_was_lost_before_answers_started_needs_more_crashes() {
+    let mut table = table();
+    for number in 0..8 {
+        assert!(settle(&mut table, crash_time(number)).is_empty());
+        table.record([&LostRequest {
+            has_started: number < 3,
+            ..lost(
+                u128::from(number),
+                &[SUBJECT_PART],
+                number,
+                crash_time(number),
+            )
+        }]);
+    }
+    assert_eq!(settle(&mut table, crash_time(8)), [part(SUBJECT_PART)]);
+}
+
 #[test]
 fn part_in_the_prompts_of_all_crashing_requests_is_quarantined_alone() {
     let mut table = table();
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -9,6 +9,7 @@
 mod endpoints;
 mod exposure;
 mod fixture;
+mod gateway_crash_load;
 mod gateway_crashes;
 mod gateway_entries;
 mod gateway_limits;
--- a/papayatray_wire/src/peer/gateway.rs
+++ b/papayatray_wire/src/peer/gateway.rs
@@ -127,8 +127,8 @@
     pub number: u64,
     /// Causes of crashes: no entry may send a request that brings one along.
     pub quarantined: Vec<CrashCause>,
-    /// Possible causes, and the time since the last crash of each; an entry reports the answers to
-    /// requests with them.
+    /// Possible causes, and the time since the first crash of each that counts; an entry reports later
+    /// answers to requests with them.
     pub suspected: Vec<(CrashCause, Millis)>,
 }
 
--- a/papayatrayd/src/gateway/state/crashes.rs
+++ b/papayatrayd/src/gateway/state/crashes.rs
@@ -107,6 +107,7 @@
             parts: lost.parts,
             sent_at: lost.sent_at,
             crashed_at: lost.lost_at,
+            has_started: lost.answered_at.is_some(),
         }
     }
 }
@@ -115,7 +116,7 @@
 #[derive(Debug, Default)]
 struct ReceivedFindings {
     quarantined: BTreeSet<CrashCause>,
-    /// Suspects, and the time of the last crash of each by the clock of this entry.
+    /// Suspects, and the time of the first crash that counts against each, by the clock of this entry.
     suspected: Vec<(CrashCause, Millis)>,
     /// Whether the replica was the leader when it confirmed the findings.
     is_from_leader: bool,
--- a/papayatrayd/tests/gateway/sync.rs
+++ b/papayatrayd/tests/gateway/sync.rs
@@ -90,6 +90,7 @@
         parts: Vec::new(),
         age,
         ran_for: Millis::new(100),
+        has_started: true,
     }
 }
 
