fix(gateway): comments and empty lines alone are no progress of a stream

Callers could get bytes without end that are no answer, and a stalled stream that sent a comment now and then never ended before its deadline. Found while looking for the users' line on bytes that come without end, and for stalled streams that send a byte now and then.

Change: comments and empty lines are returned with the event that follows, or at the end of the stream; the size limit of an event covers them.

--- a/papayatrayd/src/gateway/events.rs
+++ b/papayatrayd/src/gateway/events.rs
@@ -16,9 +16,14 @@
 }
 
 /// Splits a stream into complete events; an incomplete last event is never returned.
+///
+/// Comments and empty lines between events are returned with the event that follows them: alone they
+/// are no progress of the stream.
 #[derive(Debug, Default)]
 pub struct EventReader {
     buffer: BytesMut,
+    /// Length of the comments and empty lines at the start of the buffer.
+    skipped: usize,
     /// Length of the part of the buffer in which no event ends.
     scanned: usize,
 }
@@ -32,24 +37,45 @@
 
     /// Returns the next complete event, if there is one.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        // The end of an event, of up to 3 bytes, may have been split over two calls of `push`.
-        let from = self.scanned.saturating_sub(3);
-        let Some(end) = find_end(&self.buffer, from) else {
-            self.scanned = self.buffer.len();
-            return None;
-        };
-        self.scanned = 0;
-        let bytes = self.buffer.split_to(end).freeze();
-        Some(StreamEvent {
-            id: event_id(&bytes),
-            bytes,
-        })
+        loop {
+            // The end of an event, of up to 3 bytes, may have been split over two calls of `push`.
+            let from = self.scanned.saturating_sub(3).max(self.skipped);
+            let Some(end) = find_end(&self.buffer, from) else {
+                self.scanned = self.buffer.len();
+                return None;
+            };
+            if !has_field(&self.buffer[self.skipped..end]) {
+                self.skipped = end;
+                self.scanned = end;
+                continue;
+            }
+            self.skipped = 0;
+            self.scanned = 0;
+            let bytes = self.buffer.split_to(end).freeze();
+            return Some(StreamEvent {
+                id: event_id(&bytes),
+                bytes,
+            });
+        }
     }
 
-    /// Returns whether bytes of an incomplete event are buffered.
+    /// Returns whether bytes of an incomplete event or comment are buffered.
     pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        self.buffer.len() > self.skipped
     }
+
+    /// Removes and returns the comments after the last event.
+    pub fn take_comments(&mut self) -> Bytes {
+        self.skipped = 0;
+        self.scanned = 0;
+        self.buffer.split().freeze()
+    }
+}
+
+/// Returns whether any line is neither empty nor a comment.
+fn has_field(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line.strip_suffix(b"\r").unwrap_or(line), [] | [b':', ..]))
 }
 
 /// Returns the index after the empty line that ends the first event.
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -236,6 +236,11 @@
                     return Ok(Some(self.forward(event)));
                 }
                 StreamItem::End => {
+                    let comments = stream.reader.take_comments();
+                    if !comments.is_empty() {
+                        self.stream = Some(stream);
+                        return Ok(Some(comments));
+                    }
                     self.outcome = "whole";
                     stream.started.attempt.record_end(&self.attempts.request);
                     stream.started.return_connection();
