fix(gateway): limit the bytes before the end of a response head

A caller waited until its deadline, and the entry did nothing but read, while an endpoint sent interim responses (status 1xx) without end: the HTTP library limits one head and not their number, and reads on without a pause while bytes arrive.

Cause shown by the test, which got 504 after 3 s in place of the other endpoint's answer. Tried first: counting interim responses in the library's callback. The connection still stayed open in 2 of 3 runs, as the task that reads never came to be cancelled; taken back.

Change: the stream below the library counts bytes from the request until the head of its response and fails at 128 KiB, which ends the connection at once; the request is tried at another endpoint where its route allows.

--- a/papayatrayd/src/gateway/connection_pool.rs
+++ b/papayatrayd/src/gateway/connection_pool.rs
@@ -25,6 +25,8 @@
 use smol_hyper::rt::FuturesIo;
 
 use super::fleet::SelectedEndpoint;
+use super::limited_stream::HeadLimit;
+use super::limited_stream::LimitedStream;
 use crate::observe::Level;
 use crate::observe::event;
 use crate::tasks::Tasks;
@@ -62,6 +64,7 @@
 /// Open connection to an endpoint.
 pub struct EndpointConnection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     /// Ends the connection when dropped.
     _driver: smol::Task<()>,
 }
@@ -233,9 +236,13 @@
         let stream = stream.map_err(not_sent)?;
         stream.set_nodelay(true).map_err(not_sent)?;
         set_unacknowledged_timeout(&stream).map_err(not_sent)?;
+        let head_limit = HeadLimit::default();
         let builder = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
-            .handshake(FuturesIo::new(stream));
+            .handshake(FuturesIo::new(LimitedStream::new(
+                stream,
+                head_limit.clone(),
+            )));
         let (sender, driver) = builder
             .await
             .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
@@ -250,6 +257,7 @@
         });
         Ok(EndpointConnection {
             sender,
+            head_limit,
             _driver: driver_task,
         })
     }
@@ -276,7 +284,9 @@
     mut connection: EndpointConnection,
     outgoing: &OutgoingRequest,
 ) -> Result<EndpointResponse, ExchangeError> {
+    connection.head_limit.start_head();
     let sent = connection.sender.try_send_request(outgoing.request()).await;
+    connection.head_limit.end_head();
     match sent {
         Ok(response) => {
             let is_closing = response
--- a/papayatrayd/src/gateway/mod.rs
+++ b/papayatrayd/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod events;
 mod fleet;
 mod headers;
+mod limited_stream;
 mod metrics;
 mod metrics_page;
 mod operator;
--- a/papayatrayd/tests/gateway/endless.rs
+++ b/papayatrayd/tests/gateway/endless.rs
@@ -84,6 +84,13 @@
     assert_endless_is_left(&faulty, "/safe/x", "whole");
 }
 
+#[test]
+fn endless_interim_responses_are_no_response() {
+    let block = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(200);
+    let faulty = endless(|_| Vec::new(), block);
+    assert_endless_is_left(&faulty, "/safe/x", "whole");
+}
+
 #[test]
 fn endless_body_without_a_length_is_no_response() {
     let head = |request: &ReceivedRequest| {
