fix(gateway): wait for the entries' answers about suspects, not for a fixed time

A part was quarantined 800 ms after it had become a suspect, whether entries had answered or not. Entries that are slow to sync could not clear a part in time, and where all answer at once more endpoints crashed meanwhile than need be.

Change: findings are numbered in the table, and a suspect may be quarantined once every entry has confirmed the findings that named it first, or after a second. Test: entries_are_given_time_to_answer_before_a_part_is_ quarantined, which now checks both. One test plays more crashes, as the time without an answer is longer.

--- a/papayatray_core/src/gateway/crashes.rs
+++ b/papayatray_core/src/gateway/crashes.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 
 use super::attribution;
+use super::attribution::Attribution;
 use super::attribution::Candidate;
 use crate::clock::Millis;
 use crate::id::Fingerprint;
@@ -29,9 +30,9 @@
 const MIN_QUARANTINE: Millis = Millis::from_secs(300);
 /// Maximum duration of a quarantine.
 const MAX_QUARANTINE: Millis = Millis::from_secs(3_600);
-/// Time from the publication of a suspect until it may be quarantined; some rounds of syncs, in
-/// which entries answer whether a request with it has survived.
-const ANSWER_TIME: Millis = Millis::new(800);
+/// Time from the publication of a suspect after which it is quarantined although not all entries have
+/// answered; several rounds of syncs.
+const ANSWER_TIMEOUT: Millis = Millis::new(1_000);
 /// Maximum number of suspects of an entry; of more, those with the fewest crashes are evicted, and
 /// among these the ones with the oldest crashes.
 const MAX_SUSPECTS: usize = 512;
@@ -139,6 +140,10 @@
 /// Suspects and quarantined causes, as published to entries.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Findings {
+    /// Number of the last change.
+    pub number: u64,
+    /// Number of the last change of what is quarantined.
+    pub quarantine_number: u64,
     /// Causes of crashes: no entry may send a request that brings one along.
     pub quarantined: BTreeSet<CrashCause>,
     /// Causes that may be quarantined soon, and the time of the first crash of each that counts. An
@@ -146,6 +151,21 @@
     pub suspected: Vec<(CrashCause, Millis)>,
 }
 
+impl Findings {
+    /// Returns what changes if `quarantined` is; `count` returns the crashes of a cause.
+    fn changes_to<F>(&self, quarantined: &BTreeSet<CrashCause>, count: F) -> FindingChanges
+    where
+        F: Fn(&CrashCause) -> usize,
+    {
+        let added = quarantined.difference(&self.quarantined);
+        let released = self.quarantined.difference(quarantined);
+        FindingChanges {
+            quarantined: added.map(|cause| (*cause, count(cause))).collect(),
+            released: released.copied().collect(),
+        }
+    }
+}
+
 /// What changed when the evidence was evaluated.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FindingChanges {
@@ -174,6 +194,21 @@
 /// Number that stands for an endpoint incarnation in a [`CrashTable`].
 pub(super) type CrashId = u64;
 
+/// Publication of a suspect.
+#[derive(Clone, Copy, Debug)]
+struct Publication {
+    /// Number of the findings.
+    number: u64,
+    published_at: Millis,
+}
+
+impl Publication {
+    /// Returns whether entries had time to answer, if all of them have findings `received`.
+    fn is_answered(&self, received: u64, now: Millis) -> bool {
+        received >= self.number || now.since(self.published_at) >= ANSWER_TIMEOUT
+    }
+}
+
 /// Evidence against one cause.
 #[derive(Clone, Debug)]
 struct Record {
@@ -182,8 +217,8 @@
     crashes: BTreeMap<CrashId, Crash>,
     /// Largest position of the part in a prompt; 0 for a request.
     depth: usize,
-    /// Time since which the cause has been published as a suspect.
-    suspected_at: Option<Millis>,
+    /// First publication as a suspect.
+    publication: Option<Publication>,
     /// End of the quarantine that is in force.
     held_until: Option<Millis>,
     /// Number of quarantines so far that were not found to be wrong.
@@ -298,7 +333,7 @@
                     service: lost.service.clone(),
                     crashes: BTreeMap::new(),
                     depth: 0,
-                    suspected_at: None,
+                    publication: None,
                     held_until: None,
                     quarantines: 0,
                     released_at: None,
@@ -371,14 +406,16 @@
     }
 
     /// Decides anew what is quarantined and suspected; returns the changes of the quarantine.
-    pub fn evaluate(&mut self, now: Millis) -> FindingChanges {
+    ///
+    /// `received` is the number of the last findings that all entries have received and answered.
+    pub fn evaluate(&mut self, received: u64, now: Millis) -> FindingChanges {
         self.has_new_evidence = false;
         self.evaluated_at = now;
         self.expire(now);
         let attributed = attribution::attribute(self.records.iter().map(|(cause, record)| {
             let is_answered = record
-                .suspected_at
-                .is_some_and(|at| now.since(at) >= ANSWER_TIME);
+                .publication
+                .is_some_and(|publication| publication.is_answered(received, now));
             Candidate {
                 cause: *cause,
                 depth: record.depth,
@@ -388,34 +425,44 @@
                 answered_at: self.answered_at.get(&record.service).copied(),
             }
         }));
-        let suspects: BTreeSet<CrashCause> = attributed
-            .suspected
-            .iter()
-            .map(|(cause, _)| *cause)
-            .collect();
-        let mut changes = FindingChanges::default();
+        self.apply(attributed, now)
+    }
+
+    fn apply(&mut self, attributed: Attribution, now: Millis) -> FindingChanges {
+        let Attribution {
+            chosen,
+            mut suspected,
+        } = attributed;
+        suspected.truncate(MAX_PUBLISHED);
+        let changes = self.findings.changes_to(&chosen, |cause| {
+            self.records.get(cause).map_or(0, |r| r.crashes.len())
+        });
+        if !changes.is_empty() || suspected != self.findings.suspected {
+            self.findings.number += 1;
+        }
+        if !changes.is_empty() {
+            self.findings.quarantine_number = self.findings.number;
+        }
+        let published = Publication {
+            number: self.findings.number,
+            published_at: now,
+        };
+        let suspects: BTreeSet<CrashCause> = suspected.iter().map(|(cause, _)| *cause).collect();
         for (cause, record) in &mut self.records {
-            let is_chosen = attributed.chosen.contains(cause);
+            let is_chosen = chosen.contains(cause);
             if is_chosen && record.held_until.is_none() {
                 record.quarantine(now);
             } else if !is_chosen && record.held_until.is_some() {
                 record.absolve();
             }
             let is_suspect = suspects.contains(cause);
-            record.suspected_at = record.suspected_at.or(Some(now)).filter(|_| is_suspect);
-        }
-        for cause in attributed.chosen.difference(&self.findings.quarantined) {
-            let crashes = self.records.get(cause).map_or(0, |r| r.crashes.len());
-            changes.quarantined.push((*cause, crashes));
+            record.publication = record
+                .publication
+                .or(Some(published))
+                .filter(|_| is_suspect);
         }
-        let released = self.findings.quarantined.difference(&attributed.chosen);
-        changes.released.extend(released.copied());
-        let mut suspected = attributed.suspected;
-        suspected.truncate(MAX_PUBLISHED);
-        self.findings = Findings {
-            quarantined: attributed.chosen,
-            suspected,
-        };
+        self.findings.quarantined = chosen;
+        self.findings.suspected = suspected;
         changes
     }
 
--- a/papayatray_core/tests/core/gateway_crash_load.rs
+++ b/papayatray_core/tests/core/gateway_crash_load.rs
@@ -126,6 +126,9 @@
     reports: Vec<LostRequest>,
     suspected: Vec<(CrashCause, Millis)>,
     quarantined: BTreeSet<CrashCause>,
+    /// Number of the last findings received, and of those that the replica knows to be.
+    next_received: u64,
+    received: u64,
 }
 
 /// What a play showed.
@@ -340,7 +343,8 @@
     fn sync(&mut self) {
         let now = Millis::new(self.now);
         if self.now.is_multiple_of(EVALUATION_MS) && self.table.needs_evaluation(now) {
-            self.table.evaluate(now);
+            let received = self.entries.iter().map(|entry| entry.received).min();
+            self.table.evaluate(received.unwrap(), now);
         }
         let due = (self.now / STEP_MS) as usize % (SYNC_MS / STEP_MS) as usize;
         let stride = (SYNC_MS / STEP_MS) as usize;
@@ -354,7 +358,10 @@
             for (cause, age) in &report.causes {
                 self.table.record_answer(*cause, now.since(*age));
             }
+            // What the entry confirms is the findings that it answered in this sync.
+            entry.received = entry.next_received;
             let findings = self.table.findings();
+            entry.next_received = findings.number;
             entry.suspected.clone_from(&findings.suspected);
             entry.quarantined.clone_from(&findings.quarantined);
         }
--- a/papayatray_core/tests/core/gateway_crashes.rs
+++ b/papayatray_core/tests/core/gateway_crashes.rs
@@ -15,8 +15,10 @@
 const POISON: Fingerprint = Fingerprint(7);
 /// Time from a request's arrival at an endpoint to the crash.
 const RUN: Millis = Millis::new(200);
-/// Time from the publication of suspects until all entries have answered.
+/// Time from the publication of suspects after which missing answers are not waited for.
 const ANSWERED: Millis = Millis::new(1_000);
+/// Number of the last findings that entries have received which do not answer.
+const SILENT: u64 = 0;
 
 const FIRST_PART: u64 = 0xf;
 const SUBJECT_PART: u64 = 0x5;
@@ -47,10 +49,10 @@
     NOW + Millis::new(number * 300)
 }
 
-/// Evaluates twice, with time for entries to answer in between.
+/// Evaluates twice, with time for entries to answer in between, which none does.
 fn settle(table: &mut CrashTable, now: Millis) -> Vec<CrashCause> {
-    table.evaluate(now);
-    table.evaluate(now + ANSWERED);
+    table.evaluate(SILENT, now);
+    table.evaluate(SILENT, now + ANSWERED);
     table.findings().quarantined.iter().copied().collect()
 }
 
@@ -111,7 +113,7 @@
         table.record([&lost(POISON.0, &[], number, crash_time(number))]);
     }
     // Crashes count for 120 s.
-    table.evaluate(crash_time(2) + Millis::from_secs(121));
+    table.evaluate(SILENT, crash_time(2) + Millis::from_secs(121));
     assert!(table.is_empty());
 }
 
@@ -149,10 +151,14 @@
 fn evaluation_names_a_cause_once_when_it_becomes_quarantined() {
     let mut table = table();
     let mut named = Vec::new();
-    for number in 0..5 {
+    for number in 0..8 {
         table.record([&lost(POISON.0, &[], number, crash_time(number))]);
         for _ in 0..3 {
-            named.extend(table.evaluate(crash_time(number) + ANSWERED).quarantined);
+            named.extend(
+                table
+                    .evaluate(SILENT, crash_time(number) + ANSWERED)
+                    .quarantined,
+            );
         }
     }
     assert_eq!(named.len(), 1);
@@ -216,7 +222,7 @@
         );
         table.record([&sound]);
     }
-    table.evaluate(crash_time(9));
+    table.evaluate(SILENT, crash_time(9));
     let suspects: Vec<CrashCause> = table.findings().suspected.iter().map(|s| s.0).collect();
     assert!(suspects.contains(&part(FIRST_PART)), "{suspects:?}");
     table.record_answer(part(FIRST_PART), crash_time(9));
@@ -228,9 +234,14 @@
 fn entries_are_given_time_to_answer_before_a_part_is_quarantined() {
     let mut table = table();
     play_poison_part(&mut table, 4);
-    table.evaluate(crash_time(4));
+    table.evaluate(SILENT, crash_time(4));
     assert!(table.findings().quarantined.is_empty());
     assert!(table.findings().suspected.len() >= 2);
+    let published = table.findings().number;
+    table.evaluate(published - 1, crash_time(4) + Millis::new(900));
+    assert!(table.findings().quarantined.is_empty());
+    table.evaluate(published, crash_time(4) + Millis::new(900));
+    assert_eq!(table.findings().quarantined, [part(POISON_PART)].into());
 }
 
 /// A request is sent to three endpoints in a row and loses each to the crash of another request.
@@ -308,7 +319,7 @@
     play_poison_part(&mut table, 4);
     settle(&mut table, crash_time(4));
     table.record_answer(part(POISON_PART), crash_time(5));
-    let changes = table.evaluate(crash_time(5) + ANSWERED);
+    let changes = table.evaluate(SILENT, crash_time(5) + ANSWERED);
     assert_eq!(changes.released, [part(POISON_PART)]);
 }
 
@@ -318,9 +329,9 @@
     play_poison_part(&mut table, 4);
     settle(&mut table, crash_time(4));
     let quarantined_at = crash_time(4) + ANSWERED;
-    table.evaluate(quarantined_at + Millis::from_secs(299));
+    table.evaluate(SILENT, quarantined_at + Millis::from_secs(299));
     assert!(table.findings().quarantined.contains(&part(POISON_PART)));
-    table.evaluate(quarantined_at + Millis::from_secs(300));
+    table.evaluate(SILENT, quarantined_at + Millis::from_secs(300));
     assert!(table.findings().quarantined.is_empty());
 }
 
@@ -330,12 +341,12 @@
     play_poison_part(&mut table, 4);
     settle(&mut table, crash_time(4));
     let released_at = crash_time(4) + ANSWERED + Millis::from_secs(300);
-    table.evaluate(released_at);
+    table.evaluate(SILENT, released_at);
     let crashed_at = released_at + Millis::from_secs(2);
     table.record([&lost(500, &[FIRST_PART, POISON_PART], 50, crashed_at)]);
-    let changes = table.evaluate(crashed_at);
+    let changes = table.evaluate(SILENT, crashed_at);
     assert_eq!(changes.quarantined, [(part(POISON_PART), 1)]);
     // The second quarantine lasts ten minutes.
-    table.evaluate(crashed_at + Millis::from_secs(599));
+    table.evaluate(SILENT, crashed_at + Millis::from_secs(599));
     assert!(table.findings().quarantined.contains(&part(POISON_PART)));
 }
--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -81,10 +81,8 @@
     tallies: BTreeMap<VmId, Vec<ReleaseTally>>,
     loads: LoadTable,
     crashes: CrashTable,
-    /// Number of the last change of the findings on crashes, and of the last one that entries have to
-    /// hear of at once.
-    last_findings: u64,
-    last_quarantine: u64,
+    /// Number of the last findings on crashes that each entry has received.
+    findings_received: BTreeMap<VmId, u64>,
     cached_prefixes: UpdateRelay<CachedPrefix>,
     rate_statements: UpdateRelay<RateStatement>,
 }
@@ -117,9 +115,7 @@
             tallies: BTreeMap::new(),
             loads: LoadTable::default(),
             crashes: CrashTable::with_capacity(MAX_SUSPECTS),
-            // Entries have received number 0 before their first sync.
-            last_findings: 1,
-            last_quarantine: 0,
+            findings_received: BTreeMap::new(),
             cached_prefixes: UpdateRelay::new(MAX_PREFIX_UPDATES),
             rate_statements: UpdateRelay::new(MAX_RATE_STATEMENTS),
         };
--- a/papayatrayd/src/gateway/control_state/sync.rs
+++ b/papayatrayd/src/gateway/control_state/sync.rs
@@ -11,6 +11,7 @@
 use papayatray_core::id::ServiceId;
 use papayatray_wire::peer::CrashFindings;
 use papayatray_wire::peer::Cursor;
+use papayatray_wire::peer::GatewayVersions;
 use papayatray_wire::peer::STANDBY_POLL_TIMEOUT;
 use papayatray_wire::peer::SyncReply;
 use papayatray_wire::peer::SyncRequest;
@@ -71,6 +72,10 @@
         // Departures concern endpoints, so they count whichever incarnation of the entry reports.
         let has_departures = inner.apply_departures(&request.departures.updates);
         if inner.entries.record(&request.info, now) {
+            let received = self.received_findings(&request.versions);
+            inner
+                .findings_received
+                .insert(request.info.vm.clone(), received.unwrap_or_default());
             inner.apply_reports(request, now);
         }
         drop(inner);
@@ -79,6 +84,12 @@
         }
     }
 
+    /// Returns the number of the last findings on crashes that an entry has received from this
+    /// incarnation of the replica, or `None` if it has received none.
+    fn received_findings(&self, versions: &GatewayVersions) -> Option<u64> {
+        (versions.endpoints.incarnation == self.incarnation).then_some(versions.findings)
+    }
+
     /// Returns whether the entry must hear of a change before its poll times out.
     ///
     /// Loads, heartbeats, cached prefixes and the list of entries can wait for the time-out.
@@ -97,13 +108,14 @@
         inner.applied.plan_version > known_plan
             || inner.applied.rollouts.changes() > versions.rollouts
             || cursor != versions.endpoints
-            || inner.last_quarantine > versions.findings
+            || Some(inner.crashes.findings().quarantine_number) > self.received_findings(versions)
             || inner.applied.has_leader_lease(now) != request.expects_leader
     }
 
     fn reply(&self, request: &SyncRequest, now: Millis) -> SyncReply {
         let inner = self.inner();
         let mut versions = request.versions;
+        let findings_seen = self.received_findings(&versions);
         let applied = &inner.applied;
         let is_current = applied.has_leader_lease(now);
         if versions.endpoints.incarnation != self.incarnation {
@@ -113,7 +125,6 @@
             versions.cached_prefixes = 0;
             versions.heartbeats = 0;
             versions.loads = 0;
-            versions.findings = 0;
             versions.rate_statements = 0;
         }
         let plan = applied
@@ -144,7 +155,7 @@
             wall: self.clock.wall(),
             controls: applied.controls.clone(),
             loads: is_current.then(|| inner.loads.updates_after(versions.loads)),
-            findings: inner.findings_after(versions.findings, now),
+            findings: inner.findings_after(findings_seen, now),
             rate_statements: inner.rate_statements.updates_for(
                 &request.info.vm,
                 versions.rate_statements,
@@ -174,6 +185,7 @@
         for vm in &expired {
             inner.loads.forget(vm);
             inner.tallies.remove(vm);
+            inner.findings_received.remove(vm);
         }
         if !expired.is_empty() {
             let Inner {
@@ -194,15 +206,8 @@
         if !inner.crashes.needs_evaluation(now) {
             return;
         }
-        let before = inner.crashes.findings().clone();
-        let changes = inner.crashes.evaluate(now);
-        if *inner.crashes.findings() == before {
-            return;
-        }
-        inner.last_findings += 1;
-        if !changes.is_empty() {
-            inner.last_quarantine = inner.last_findings;
-        }
+        let received = inner.findings_received.values().copied().min();
+        let changes = inner.crashes.evaluate(received.unwrap_or_default(), now);
         drop(inner);
         log_changes(&changes, "control");
         if !changes.is_empty() {
@@ -258,11 +263,12 @@
         }
     }
 
-    /// Returns the findings on crashes, unless number `seen` is the last.
-    fn findings_after(&self, seen: u64, now: Millis) -> Option<CrashFindings> {
+    /// Returns the findings on crashes, unless the entry has received them; `seen` is `None` if it has
+    /// received none from this incarnation.
+    fn findings_after(&self, seen: Option<u64>, now: Millis) -> Option<CrashFindings> {
         let findings = self.crashes.findings();
-        (self.last_findings != seen).then(|| CrashFindings {
-            number: self.last_findings,
+        (Some(findings.number) != seen).then(|| CrashFindings {
+            number: findings.number,
             quarantined: findings.quarantined.iter().copied().collect(),
             suspected: findings
                 .suspected
--- a/papayatrayd/src/gateway/state/crashes.rs
+++ b/papayatrayd/src/gateway/state/crashes.rs
@@ -244,7 +244,8 @@
         let now = self.clock.now();
         let mut crashes = lock(&self.crashes);
         if crashes.own.needs_evaluation(now) {
-            let changes = crashes.own.evaluate(now);
+            // The entry's own answers are recorded at once.
+            let changes = crashes.own.evaluate(u64::MAX, now);
             drop(crashes);
             log_changes(&changes, "entry");
         }
