--- a/papayatray_standin/src/engine.rs
+++ b/papayatray_standin/src/engine.rs
@@ -36,7 +36,7 @@
 const LAST_EVENT_HEADER: &str = "last-event-id";
 /// Header with the fencing token of an order, which grows with each change of the leader.
 const FENCE_HEADER: &str = "papayatray-fence";
-/// Word in a prompt that crashes the engine.
+/// Word in a message that crashes the engine.
 pub const POISON_WORD: &str = "poison";
 
 /// Options of an engine.
@@ -208,7 +208,7 @@
             state.prompts.push(script.prompt.clone());
             state.fault
         };
-        if script.prompt.contains(POISON_WORD) {
+        if body.to_string().contains(POISON_WORD) {
             // The crash drops the task that runs this code, so another thread has to cause it.
             let inner = Arc::clone(self);
             std::thread::spawn(move || inner.crash());
--- a/papayatrayd/tests/faults/endpoints.rs
+++ b/papayatrayd/tests/faults/endpoints.rs
@@ -13,6 +13,7 @@
 
 use crate::rig::Rig;
 use crate::rig::chat;
+use crate::rig::chat_with_messages;
 use crate::rig::expected_text;
 
 #[test]
@@ -102,6 +103,26 @@
     });
 }
 
+/// Five endpoints are what one cause may crash, as at the gateway.
+#[test]
+fn requests_that_share_a_first_message_crash_at_most_five_endpoints() {
+    smol::block_on(async {
+        let rig = Rig::start("shared", 3, 10).await;
+        for number in 0..6 {
+            let messages = json!([
+                {"role": "system", "content": "poison"},
+                {"role": "user", "content": format!("question {number}")},
+            ]);
+            let entry = rig.site.vms()[number % 3].caller_address;
+            let response = chat_with_messages(entry, &messages, false, &[]).await;
+            assert_ne!(response.unwrap().status, 200);
+        }
+        let engines = rig.engines.iter();
+        let crashed = engines.filter(|engine| engine.is_crashed()).count();
+        assert!(crashed <= 5, "{crashed} endpoints crashed");
+    });
+}
+
 #[test]
 fn interrupted_service_call_may_have_run_and_is_never_run_again() {
     smol::block_on(async {
--- a/papayatrayd/tests/faults/rig.rs
+++ b/papayatrayd/tests/faults/rig.rs
@@ -328,11 +328,18 @@
     stream: bool,
     headers: &[(&str, &str)],
 ) -> Result<CallResponse, CallError> {
-    let body = json!({
-        "model": "auto",
-        "messages": [{"role": "user", "content": prompt}],
-        "stream": stream,
-    });
+    let messages = json!([{"role": "user", "content": prompt}]);
+    chat_with_messages(entry, &messages, stream, headers).await
+}
+
+/// Sends a chat request with these messages to an entry.
+pub async fn chat_with_messages(
+    entry: SocketAddr,
+    messages: &Value,
+    stream: bool,
+    headers: &[(&str, &str)],
+) -> Result<CallResponse, CallError> {
+    let body = json!({"model": "auto", "messages": messages, "stream": stream});
     let bearer = format!("Bearer {KEY}");
     let mut all = vec![
         ("authorization", bearer.as_str()),
