fix(gateway): keep a quarantine while another leader evaluates the crashes anew

Endpoints would crash again after a restart or change of the leading control replica: its successor starts with empty findings, and entries took those at once. By reading and by the new unit test, which failed before (200 in place of 503); the test with real processes, which restarts all control replicas and an entry, passed before too, since the reports came again faster than the requests.

--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -242,7 +242,8 @@
         if reply.is_current {
             self.set_leader_wall(reply.wall);
         }
-        self.apply_findings(control, reply.findings, reply.is_current);
+        let incarnation = reply.endpoints.cursor.incarnation;
+        self.apply_findings(control, incarnation, reply.findings, reply.is_current);
         if let Some(loads) = &reply.loads {
             self.fleet().apply_loads(loads);
         }
--- a/papayatrayd/src/gateway/state/crashes.rs
+++ b/papayatrayd/src/gateway/state/crashes.rs
@@ -16,6 +16,7 @@
 use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::gateway::updates::UpdateLog;
 use papayatray_core::id::Fingerprint;
+use papayatray_core::id::Incarnation;
 use papayatray_core::suspicion::EndpointIncarnation;
 use papayatray_wire::peer::CrashFindings;
 
@@ -34,6 +35,9 @@
 const MAX_REPORTS_PER_SYNC: usize = 64;
 /// Time for which the findings of a leader are used after it last confirmed them.
 const FINDINGS_TTL: Millis = Millis::from_secs(3);
+/// Time for which what a former leader had quarantined stays so; its successor, or the same replica
+/// after a restart, evaluates the evidence anew meanwhile.
+const HANDOVER_TIME: Millis = Millis::from_secs(30);
 /// Time from the first event of a stream after which the endpoint has got over the start of the
 /// answer; crashes on the start follow within a tenth of a second.
 pub(in crate::gateway) const ANSWER_START: Millis = Millis::new(250);
@@ -133,6 +137,10 @@
     answers: AnswerLog,
     /// Findings by the address of the control replica.
     findings: BTreeMap<String, ReceivedFindings>,
+    /// Address and incarnation of the last leader.
+    leader: Option<(String, Incarnation)>,
+    /// What former leaders had quarantined, and until when it stays so.
+    handover: BTreeMap<CrashCause, Millis>,
 }
 
 impl Default for CrashView {
@@ -142,6 +150,8 @@
             reports: UpdateLog::new(MAX_CRASH_REPORTS),
             answers: AnswerLog::default(),
             findings: BTreeMap::new(),
+            leader: None,
+            handover: BTreeMap::new(),
         }
     }
 }
@@ -160,9 +170,26 @@
             let mut used = self.findings.values();
             used.any(|r| (is_leading(r) || !has_leading) && r.quarantined.contains(cause))
                 || (!has_leading && self.own.findings().quarantined.contains(cause))
+                || self.handover.get(cause).is_some_and(|until| now < *until)
         };
         causes.into_iter().find(is_quarantined)
     }
+
+    /// Records which replica leads; a change keeps what the former leader had quarantined.
+    fn record_leader(&mut self, control: &str, incarnation: Incarnation, now: Millis) {
+        let is_same =
+            |(address, known): &(String, Incarnation)| address == control && *known == incarnation;
+        if self.leader.as_ref().is_some_and(is_same) {
+            return;
+        }
+        let former = self.leader.replace((control.to_owned(), incarnation));
+        let findings = former.and_then(|(address, _)| self.findings.get(&address));
+        let quarantined = findings.map(|received| received.quarantined.clone());
+        self.handover.retain(|_, until| now < *until);
+        let until = now + HANDOVER_TIME;
+        let kept = quarantined.into_iter().flatten();
+        self.handover.extend(kept.map(|cause| (cause, until)));
+    }
 }
 
 /// # Crashes
@@ -221,11 +248,15 @@
     pub(super) fn apply_findings(
         &self,
         control: &str,
+        incarnation: Incarnation,
         findings: Option<CrashFindings>,
         is_leader: bool,
     ) {
         let now = self.clock.now();
         let mut crashes = lock(&self.crashes);
+        if is_leader {
+            crashes.record_leader(control, incarnation, now);
+        }
         let received = crashes.findings.entry(control.to_owned()).or_default();
         received.is_from_leader = is_leader;
         received.updated_at = now;
--- a/papayatrayd/tests/gateway/relay.rs
+++ b/papayatrayd/tests/gateway/relay.rs
@@ -4,16 +4,19 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::arrivals::ArrivalBound;
 use papayatray_core::gateway::crashes::CrashCause;
 use papayatray_core::id::Fingerprint;
+use papayatray_core::id::Incarnation;
 use papayatrayd::observe::SystemClock;
 
 use crate::endpoint::FakeEndpoint;
 use crate::endpoint::Step;
 use crate::endpoint::not_run;
 use crate::endpoint::response;
+use crate::rig::AdvancedClock;
 use crate::rig::Rig;
 use crate::rig::plan;
 
@@ -322,6 +325,29 @@
     assert_eq!(fake.requests().len(), 2);
 }
 
+/// A replica that restarts has to evaluate the crashes anew.
+#[test]
+fn quarantine_outlasts_the_incarnation_of_the_leader_that_ordered_it() {
+    let fake = healthy("ok");
+    let clock = Arc::new(AdvancedClock::default());
+    let rig = Rig::with_clock(Arc::clone(&clock) as Arc<dyn Clock>);
+    rig.apply_update(plan(), &[&fake]);
+    rig.apply_quarantined(vec![CrashCause::PromptPart(0xdead)]);
+    let send = || {
+        rig.request("/safe/", "Papayatray-Prefix: dead:50,1:9\r\n")
+            .status
+    };
+    rig.apply_quarantined_by(Incarnation(2), Vec::new());
+    assert_eq!(send(), 503);
+    clock.advance(Millis::from_secs(31));
+    rig.apply_quarantined_by(Incarnation(2), Vec::new());
+    assert_eq!(send(), 200);
+    rig.apply_quarantined_by(Incarnation(2), vec![CrashCause::PromptPart(0xdead)]);
+    assert_eq!(send(), 503);
+    rig.apply_quarantined_by(Incarnation(2), Vec::new());
+    assert_eq!(send(), 200, "released by the leader that ordered it");
+}
+
 #[test]
 fn lost_response_without_a_crash_raises_no_suspicion() {
     let closing_endpoint = cut_off("");
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -36,6 +36,7 @@
 use papayatray_core::id::VmId;
 use papayatray_core::lease::EntryInfo;
 use papayatray_wire::peer::CrashFindings;
+use papayatray_wire::peer::Cursor;
 use papayatray_wire::peer::EndpointUpdates;
 use papayatray_wire::peer::SyncReply;
 use papayatrayd::gateway::Bounds;
@@ -302,8 +303,20 @@
 
     /// Applies an update of the leader with what is quarantined for crashing endpoints.
     pub fn apply_quarantined(&self, quarantined: Vec<CrashCause>) {
+        self.apply_quarantined_by(Incarnation(1), quarantined);
+    }
+
+    /// Applies an update like [`Self::apply_quarantined`], of this incarnation of the leader.
+    pub fn apply_quarantined_by(&self, leader: Incarnation, quarantined: Vec<CrashCause>) {
         let reply = SyncReply {
             is_current: true,
+            endpoints: EndpointUpdates {
+                cursor: Cursor {
+                    incarnation: leader,
+                    number: 0,
+                },
+                ..EndpointUpdates::default()
+            },
             findings: Some(CrashFindings {
                 number: 1,
                 quarantined,
--- a/papayatrayd/tests/processes/crashes.rs
+++ b/papayatrayd/tests/processes/crashes.rs
@@ -136,9 +136,7 @@
         let site = Arc::new(Site::start(name));
         site.publish(1, "/a/");
         let endpoints: Vec<_> = (0..ENDPOINTS).map(|_| CrashingEndpoint::start()).collect();
-        for (number, endpoint) in endpoints.iter().enumerate() {
-            site.announce_as(&format!("e-{number}"), endpoint.address);
-        }
+        announce(&site, &endpoints);
         for entry in 0..2 {
             site.wait_status(entry, "/a/x", 200);
         }
@@ -185,8 +183,8 @@
     }
 }
 
-impl Drop for CrashingSite {
-    fn drop(&mut self) {
+impl CrashingSite {
+    fn stop_callers(&mut self) {
         self.is_over.store(true, Ordering::SeqCst);
         for caller in self.callers.drain(..) {
             // A caller that panicked has printed why.
@@ -195,6 +193,21 @@
     }
 }
 
+impl Drop for CrashingSite {
+    fn drop(&mut self) {
+        self.stop_callers();
+    }
+}
+
+/// Announces the endpoints that have not crashed.
+fn announce(site: &Site, endpoints: &[Arc<CrashingEndpoint>]) {
+    for (number, endpoint) in endpoints.iter().enumerate() {
+        if !endpoint.has_crashed.load(Ordering::SeqCst) {
+            site.announce_as(&format!("e-{number}"), endpoint.address);
+        }
+    }
+}
+
 /// Sends a sound request, which shares its first parts with requests that crash endpoints.
 fn send_sound(site: &Site, entry: usize, number: usize) -> u16 {
     let parts = format!("aa:100,bb:50,{number:x}00:9");
@@ -207,17 +220,24 @@
     call_with_headers(address, "POST", path, &headers, path).0
 }
 
-#[test]
-fn prompt_part_that_crashes_endpoints_is_quarantined_at_every_entry() {
-    let play = CrashingSite::start("part");
+/// Sends requests with the poison part until both entries refuse them; returns how many were sent.
+fn play_until_quarantined(play: &CrashingSite) -> usize {
     let mut refused = [false, false];
     let mut number = 0;
     while refused != [true, true] && number < MAX_POISON_REQUESTS {
         refused[number % 2] = play.send_poison(number) == 503;
         number += 1;
     }
-    let (crashed, arrivals) = (play.crashed(), play.poison_arrivals());
+    let crashed = play.crashed();
     assert!(crashed < ENDPOINTS, "all {crashed} endpoints crashed");
+    number
+}
+
+#[test]
+fn prompt_part_that_crashes_endpoints_is_quarantined_at_every_entry() {
+    let play = CrashingSite::start("part");
+    let number = play_until_quarantined(&play);
+    let arrivals = play.poison_arrivals();
     for later in 0..LATER_REQUESTS {
         assert_eq!(play.send_poison(number + later), 503);
     }
@@ -226,3 +246,29 @@
         assert_eq!(send_sound(&play.site, entry, 1), 200);
     }
 }
+
+#[test]
+fn quarantine_outlives_a_restart_of_all_control_replicas_and_of_an_entry() {
+    let mut play = CrashingSite::start("restart");
+    let number = play_until_quarantined(&play);
+    let arrivals = play.poison_arrivals();
+    play.stop_callers();
+    let site = Arc::get_mut(&mut play.site).unwrap();
+    for control in 0..3 {
+        site.kill(&format!("control-{control}"));
+    }
+    for control in 0..3 {
+        site.spawn(&format!("control-{control}"));
+    }
+    site.publish(2, "/a/");
+    announce(site, &play.endpoints);
+    site.kill("entry-1");
+    site.spawn("entry-1");
+    for entry in 0..2 {
+        site.wait_status(entry, "/a/x", 200);
+    }
+    for later in 0..LATER_REQUESTS {
+        assert_eq!(play.send_poison(number + later), 503);
+    }
+    assert_eq!(play.poison_arrivals(), arrivals);
+}
