--- a/papayatray_core/src/gateway/answers.rs
+++ b/papayatray_core/src/gateway/answers.rs
@@ -1,5 +1,5 @@
 //! Answers that an entry's requests got from endpoints that did not crash, as evidence that what the
-//! requests brought along is harmless.
+//! requests contain is harmless.
 
 use std::collections::BTreeMap;
 
--- a/papayatray_core/src/gateway/attribution.rs
+++ b/papayatray_core/src/gateway/attribution.rs
@@ -3,7 +3,8 @@
 //! Load that it answers: one prompt part crashes every endpoint that begins to answer a request with
 //! it, in requests that share nothing else, among many sound requests that are lost in the same
 //! crashes and share the other parts. The cause with the most crashes is chosen first; its crashes
-//! then count against nothing else, so that what was merely in flight is not quarantined.
+//! then count against nothing else, so that a request that was merely in flight, or a part of its
+//! prompt, is not quarantined.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/papayatray_core/src/gateway/crashes.rs
+++ b/papayatray_core/src/gateway/crashes.rs
@@ -1,9 +1,9 @@
 //! Evidence on what makes endpoints crash, collected over the whole fleet.
 //!
 //! All requests that an endpoint was about to answer when it crashed are reported, and each crash
-//! counts against everything that such a request may bring along: the request itself, and each part of
-//! its prompt that other requests may share. A later request that an endpoint answered clears what
-//! it brought along. [`attribution`](super::attribution) decides from the rest what is quarantined.
+//! counts against each possible cause in such a request: the request itself, and each part of its
+//! prompt that other requests may share. A later answer to a request clears the possible causes in
+//! it. [`attribution`](super::attribution) decides from the rest what is quarantined.
 //!
 //! The chat interface runs suspects in isolation trials instead, which are coordinated through the
 //! replicated log. Here trials would delay the many sound requests in flight at every crash, so the
@@ -62,7 +62,7 @@
     }
 }
 
-/// Returns everything that a request brings along and that may make endpoints crash.
+/// Returns the possible causes of crashes in a request.
 ///
 /// `parts` are the digests of the prompt parts that other requests may share.
 pub fn causes(request: Fingerprint, parts: &[u64]) -> impl Iterator<Item = CrashCause> {
@@ -144,7 +144,7 @@
     pub number: u64,
     /// Number of the last change of what is quarantined.
     pub quarantine_number: u64,
-    /// Causes of crashes: no entry may send a request that brings one along.
+    /// Causes of crashes: no entry may send a request with one.
     pub quarantined: BTreeSet<CrashCause>,
     /// Causes that may be quarantined soon, and the time of the first crash of each that counts. An
     /// entry at which a request with one began to be answered after that crash has to say so.
@@ -241,7 +241,7 @@
     }
 
     /// Ends a quarantine that was wrong.
-    const fn absolve(&mut self) {
+    const fn reset_quarantines(&mut self) {
         self.held_until = None;
         self.released_at = None;
         self.quarantines = 0;
@@ -263,7 +263,7 @@
         }
         let is_long_ago = |at| now.since(at) >= MAX_QUARANTINE;
         if self.held_until.is_none() && self.released_at.is_some_and(is_long_ago) {
-            self.absolve();
+            self.reset_quarantines();
         }
     }
 
@@ -370,7 +370,7 @@
                 .retain(|_, crash| crash.crashed_at > began_at);
             if record.crashes.len() < before {
                 self.has_new_evidence = true;
-                record.absolve();
+                record.reset_quarantines();
             }
         }
     }
@@ -453,7 +453,7 @@
             if is_chosen && record.held_until.is_none() {
                 record.quarantine(now);
             } else if !is_chosen && record.held_until.is_some() {
-                record.absolve();
+                record.reset_quarantines();
             }
             let is_suspect = suspects.contains(cause);
             record.publication = record
--- a/papayatray_core/tests/core/gateway_crash_load.rs
+++ b/papayatray_core/tests/core/gateway_crash_load.rs
@@ -160,7 +160,7 @@
 
     /// Returns how many sound requests began at the first attempt from twice the contact time after
     /// the fifth crash, or the last of fewer, of the play `poisoned`.
-    fn begun_since_quarantine(&self, poisoned: &Self) -> usize {
+    fn started_since_quarantine(&self, poisoned: &Self) -> usize {
         let crashes = &poisoned.poison_crashes;
         let Some(last) = crashes.get(4).or(crashes.last()) else {
             return self.first_attempts.len();
@@ -389,12 +389,12 @@
             seed,
         );
         let (with, without) = (
-            outcome.begun_since_quarantine(&outcome),
-            calm.begun_since_quarantine(&outcome),
+            outcome.started_since_quarantine(&outcome),
+            calm.started_since_quarantine(&outcome),
         );
         assert!(
             2 * with >= without,
-            "{name}, seed {seed}: {with} of {without} begin at once"
+            "{name}, seed {seed}: {with} of {without} start at once"
         );
     }
 }
--- a/papayatray_wire/src/peer/gateway.rs
+++ b/papayatray_wire/src/peer/gateway.rs
@@ -125,7 +125,7 @@
 pub struct CrashFindings {
     /// Number of the findings, within the incarnation of the replica.
     pub number: u64,
-    /// Causes of crashes: no entry may send a request that brings one along.
+    /// Causes of crashes: no entry may send a request with one.
     pub quarantined: Vec<CrashCause>,
     /// Possible causes, and the time since the first crash of each that counts; an entry reports later
     /// answers to requests with them.
--- a/papayatrayd/src/gateway/attempt.rs
+++ b/papayatrayd/src/gateway/attempt.rs
@@ -103,17 +103,17 @@
         }
     }
 
-    /// Records that an event arrived at the time `now`; some time after the first one, the endpoint
-    /// has got over the start of the answer.
+    /// Records that an event arrived at the time `now`; some time after the first one, the answer
+    /// counts as one on which the endpoint did not crash.
     pub(super) fn record_event(&mut self, request: &RoutedRequest, now: Millis) {
         let first_event_at = *self.first_event_at.get_or_insert(now);
         if now.since(first_event_at) >= ANSWER_START {
-            self.record_end(request);
+            self.record_answered(request);
         }
     }
 
     /// Records that the endpoint answered without crashing.
-    pub(super) fn record_end(&mut self, request: &RoutedRequest) {
+    pub(super) fn record_answered(&mut self, request: &RoutedRequest) {
         if !std::mem::replace(&mut self.is_answered, true) {
             let began_at = self.first_event_at.unwrap_or(self.started_at);
             self.gateway.record_answer(request, began_at);
--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -287,7 +287,7 @@
         }
         Some(Ok(body)) => {
             if started.head.status.is_success() && started.metadata.has_run {
-                started.attempt.record_end(&attempts.request);
+                started.attempt.record_answered(&attempts.request);
             }
             let is_failure = started.head.status.is_server_error();
             if is_failure {
--- a/papayatrayd/src/gateway/state/crashes.rs
+++ b/papayatrayd/src/gateway/state/crashes.rs
@@ -38,8 +38,8 @@
 /// Time for which what a former leader had quarantined stays so; its successor, or the same replica
 /// after a restart, evaluates the evidence anew meanwhile.
 const HANDOVER_TIME: Millis = Millis::from_secs(30);
-/// Time from the first event of a stream after which the endpoint has got over the start of the
-/// answer; crashes on the start follow within a tenth of a second.
+/// Time from the first event of a stream after which a crash is no longer put down to the start of
+/// the answer; such crashes follow within a tenth of a second.
 pub(in crate::gateway) const ANSWER_START: Millis = Millis::new(250);
 
 /// Attempt whose connection was lost.
@@ -69,8 +69,8 @@
         }
     }
 
-    /// Returns whether the endpoint had got over the start of the answer, so that the request is no
-    /// cause of the crash.
+    /// Returns whether the answer had started long before, so that the request is no cause of the
+    /// crash.
     fn was_answered(&self) -> bool {
         self.first_event_at
             .is_some_and(|at| self.lost_at.since(at) >= ANSWER_START)
@@ -199,7 +199,7 @@
         lock(&self.crashes).own.len()
     }
 
-    /// Returns what a request brings along that crashes endpoints, if anything does.
+    /// Returns the quarantined cause of crashes in a request, if it has one.
     pub(in crate::gateway) fn find_quarantined(
         &self,
         request: &RoutedRequest,
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -242,7 +242,10 @@
                         return Ok(Some(comments));
                     }
                     self.outcome = "whole";
-                    stream.started.attempt.record_end(&self.attempts.request);
+                    stream
+                        .started
+                        .attempt
+                        .record_answered(&self.attempts.request);
                     stream.started.return_connection();
                     return Ok(None);
                 }
