fix(gateway): withdraw requests from endpoints when a part of their prompts is quarantined

Endpoints still crashed after the decision: requests with the part that were waiting at endpoints for the start of their answer crashed them then.

Change: an attempt that waits for its response head ends when its request becomes quarantined; the connection is closed, which endpoints take as the end of the request, and the caller is told at once that it may have run. The new test, an endpoint that would answer after 2 s, got 200 before.

--- a/papayatray_core/tests/core/gateway_crash_load.rs
+++ b/papayatray_core/tests/core/gateway_crash_load.rs
@@ -348,7 +348,13 @@
         }
         let due = (self.now / STEP_MS) as usize % (SYNC_MS / STEP_MS) as usize;
         let stride = (SYNC_MS / STEP_MS) as usize;
-        for entry in self.entries.iter_mut().skip(due).step_by(stride) {
+        for (number, entry) in self
+            .entries
+            .iter_mut()
+            .enumerate()
+            .skip(due)
+            .step_by(stride)
+        {
             let lost = std::mem::take(&mut entry.reports);
             self.table.record(&lost);
             let report = entry.answers.report(&entry.suspected, now);
@@ -364,6 +370,17 @@
             entry.next_received = findings.number;
             entry.suspected.clone_from(&findings.suspected);
             entry.quarantined.clone_from(&findings.quarantined);
+            if entry.quarantined.is_empty() {
+                continue;
+            }
+            // An entry withdraws requests that wait for the start of the answer.
+            for endpoint in &mut self.endpoints {
+                endpoint.flights.retain(|flight| {
+                    let is_waiting = flight.entry == number && self.now < flight.begins_at;
+                    let mut causes = causes(flight.request, &flight.parts);
+                    !is_waiting || !causes.any(|cause| entry.quarantined.contains(&cause))
+                });
+            }
         }
     }
 }
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -36,6 +36,10 @@
 /// `Retry-After` of a request that the endpoints rejected or that exhausted the retry budget.
 const BUSY_RETRY_AFTER: Millis = Millis::new(250);
 
+/// Reason of the refusal of a quarantined request.
+const QUARANTINE_REASON: &str =
+    "the request or a part of its prompt is quarantined: endpoints crashed on it";
+
 /// State of one request over all its attempts.
 #[derive(Debug)]
 pub(super) struct Attempts {
@@ -168,10 +172,7 @@
         }
         if let Some(cause) = self.gateway.find_quarantined(&self.request) {
             self.log_quarantine(cause);
-            return Err(self.final_refusal(
-                "the request or a part of its prompt is quarantined: endpoints crashed on it",
-                POISON_RETRY_AFTER,
-            ));
+            return Err(self.final_refusal(QUARANTINE_REASON, POISON_RETRY_AFTER));
         }
         if self.request.has_key && !self.gateway.has_fresh_evidence() {
             return Err(if self.possible_runs > 0 {
@@ -274,8 +275,12 @@
             Timer::after(remaining.to_duration()).await;
             None
         };
+        let quarantine = async {
+            let cause = self.gateway.wait_until_quarantined(&self.request).await;
+            Some(Err(ExchangeError::Withdrawn(cause)))
+        };
         self.arrivals += 1;
-        let result = exchange.or(timeout).await;
+        let result = exchange.or(timeout).or(quarantine).await;
         self.log_attempt(&attempt, result.as_ref());
         match result {
             Some(Ok(received)) => self.check_response(attempt, received),
@@ -290,6 +295,11 @@
                 self.gateway.detect_crash(attempt.lost(&self.request));
                 self.record_failed_run(&attempt).map(|()| None)
             }
+            Some(Err(ExchangeError::Withdrawn(cause))) => {
+                self.possible_runs += 1;
+                self.log_quarantine(cause);
+                Err(Refusal::Failed(QUARANTINE_REASON))
+            }
             None => {
                 self.possible_runs += 1;
                 attempt.record_failure();
@@ -419,6 +429,7 @@
             Some(Ok(_)) => "answered",
             Some(Err(ExchangeError::NotSent(_))) => "not_sent",
             Some(Err(ExchangeError::Lost(_))) => "lost",
+            Some(Err(ExchangeError::Withdrawn(_))) => "withdrawn",
             None => "timed_out",
         });
         let outcome = match result {
--- a/papayatrayd/src/gateway/connection_pool.rs
+++ b/papayatrayd/src/gateway/connection_pool.rs
@@ -18,6 +18,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::crashes::CrashCause;
 use papayatray_core::id::EndpointId;
 use smol::Timer;
 use smol::future::FutureExt;
@@ -57,6 +58,8 @@
     NotSent(String),
     /// the connection was lost, and the endpoint may have run the request: {0}
     Lost(String),
+    /// the request was withdrawn from the endpoint, as this cause of crashes was quarantined: {0}
+    Withdrawn(CrashCause),
 }
 
 impl std::error::Error for ExchangeError {}
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -163,6 +163,8 @@
     latencies: Mutex<UsualLatencies>,
     /// Usual times for each event of a stream.
     paces: Mutex<UsualPaces>,
+    /// Notified when what is quarantined may have changed.
+    quarantine_changed: Event,
     /// What makes endpoints crash, as far as this entry knows.
     crashes: Mutex<CrashView>,
     shutdown_stage: AtomicU8,
@@ -204,6 +206,7 @@
             tallies: Mutex::default(),
             latencies: Mutex::default(),
             paces: Mutex::default(),
+            quarantine_changed: Event::new(),
             crashes: Mutex::default(),
             shutdown_stage: AtomicU8::new(ShutdownStage::Serving as u8),
             in_flight: AtomicUsize::new(0),
--- a/papayatrayd/src/gateway/state/crashes.rs
+++ b/papayatrayd/src/gateway/state/crashes.rs
@@ -208,6 +208,20 @@
         lock(&self.crashes).find_quarantined(causes, self.clock.now())
     }
 
+    /// Waits until a request has a quarantined cause of crashes, and returns the cause.
+    pub(in crate::gateway) async fn wait_until_quarantined(
+        &self,
+        request: &RoutedRequest,
+    ) -> CrashCause {
+        loop {
+            let listener = self.quarantine_changed.listen();
+            if let Some(cause) = self.find_quarantined(request) {
+                return cause;
+            }
+            listener.await;
+        }
+    }
+
     /// Returns the next crashes that this entry has seen, after report number `number`.
     pub fn crash_reports_since(&self, number: u64) -> UpdateBatch<CrashReport> {
         let now = self.clock.now();
@@ -263,11 +277,17 @@
         let Some(findings) = findings else {
             return;
         };
-        received.quarantined = findings.quarantined.into_iter().collect();
+        let quarantined: BTreeSet<CrashCause> = findings.quarantined.into_iter().collect();
+        let has_changed = received.quarantined != quarantined;
+        received.quarantined = quarantined;
         let suspected = findings.suspected.into_iter();
         received.suspected = suspected
             .map(|(cause, age)| (cause, now.since(age)))
             .collect();
+        drop(crashes);
+        if has_changed {
+            self.quarantine_changed.notify(usize::MAX);
+        }
     }
 
     /// Evaluates the evidence from this entry's own requests, if there is any.
--- a/papayatrayd/tests/gateway/relay.rs
+++ b/papayatrayd/tests/gateway/relay.rs
@@ -325,6 +325,28 @@
     assert_eq!(fake.requests().len(), 2);
 }
 
+/// The endpoint would start the answer after 2 s, and crash.
+#[test]
+fn request_is_withdrawn_from_an_endpoint_when_a_part_of_its_prompt_is_quarantined() {
+    for path in ["/safe/", "/stream/"] {
+        let slow = FakeEndpoint::start(|_, request| {
+            let whole = Step::Send(response(request, "200 OK", "late"));
+            vec![Step::Wait(Duration::from_secs(2)), whole]
+        });
+        let rig = Rig::start(&[&slow]);
+        let headers = "Papayatray-Prefix: dead:50,1:9\r\n";
+        let received = std::thread::scope(|scope| {
+            let caller = scope.spawn(|| rig.request(path, headers));
+            while slow.requests().is_empty() {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            rig.apply_quarantined(vec![CrashCause::PromptPart(0xdead)]);
+            caller.join().unwrap()
+        });
+        assert_eq!(received.status, 502, "{path}: {}", received.body);
+    }
+}
+
 /// A replica that restarts has to evaluate the crashes anew.
 #[test]
 fn quarantine_outlasts_the_incarnation_of_the_leader_that_ordered_it() {
