fix(gateway): prefer a prompt part that was never answered as the cause of crashes

Sound requests of one subject were refused, 88 to 96 in 60 s of played load: where the poison part stands before the part of one subject in each prompt, both have the same crashes, and the later part was taken for the cause.

Change: entries also say which suspects were answered before their first crash that counts; of parts with almost as many crashes, one that was never answered is chosen, and of these the later one. Entries use the same report for their own evidence.

--- a/papayatray_core/src/gateway/answers.rs
+++ b/papayatray_core/src/gateway/answers.rs
@@ -21,6 +21,9 @@
     /// and the time since that answer began.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub causes: Vec<(CrashCause, Millis)>,
+    /// Suspects of the replica with which a request was answered, if only before that crash.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier: Vec<CrashCause>,
     /// Time since the last answer of each service began.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub services: Vec<(ServiceId, Millis)>,
@@ -67,16 +70,20 @@
         if suspected.is_empty() {
             return AnswerReport::default();
         }
-        let answered = suspected.iter().filter_map(|(cause, crashed_at)| {
-            let answered_at = self.causes.get(cause).copied()?;
-            (answered_at > *crashed_at).then(|| (*cause, now.since(answered_at)))
-        });
-        let services = self.services.iter();
-        AnswerReport {
-            causes: answered.collect(),
-            services: services
-                .map(|(service, answered_at)| (service.clone(), now.since(*answered_at)))
-                .collect(),
+        let mut report = AnswerReport::default();
+        for (cause, crashed_at) in suspected {
+            match self.causes.get(cause) {
+                Some(answered_at) if answered_at > crashed_at => {
+                    report.causes.push((*cause, now.since(*answered_at)));
+                }
+                Some(_) => report.earlier.push(*cause),
+                None => {}
+            }
         }
+        let services = self.services.iter();
+        report.services = services
+            .map(|(service, answered_at)| (service.clone(), now.since(*answered_at)))
+            .collect();
+        report
     }
 }
--- a/papayatray_core/src/gateway/attribution.rs
+++ b/papayatray_core/src/gateway/attribution.rs
@@ -28,8 +28,9 @@
 const MIN_REQUESTS: usize = 2;
 /// Crashes in succession at which a cause is a suspect.
 const SUSPECT_CRASHES: usize = 2;
-/// Share of the most crashes that a part at a later position needs to be chosen instead.
-const MIN_SPECIFIC_SHARE: f64 = 0.75;
+/// Share of the most crashes that another part, which is likelier for other reasons, needs to be
+/// chosen instead.
+const MIN_CRASH_SHARE: f64 = 0.75;
 /// Error of the times of different entries' reports, relative to one another.
 const CLOCK_ERROR: Millis = Millis::new(50);
 
@@ -39,6 +40,8 @@
     pub(super) cause: CrashCause,
     /// Position in the prompt; a later part is shared by fewer requests.
     pub(super) depth: usize,
+    /// Whether a request with the cause was answered before its first crash that counts.
+    pub(super) was_answered: bool,
     /// Crashes since a request with the cause was answered.
     pub(super) crashes: &'a BTreeMap<CrashId, Crash>,
     /// Whether the cause was quarantined and released before, so that one crash is enough.
@@ -111,8 +114,8 @@
 
 /// Returns the cause with the most unexplained crashes, if they are enough.
 ///
-/// Of prompt parts with almost as many, the one at the latest position is returned; of a request and
-/// a part with as many, the request. While a prompt part has far more crashes than any cause with
+/// Of prompt parts with almost as many, one with which no request was ever answered is returned, and of
+/// these the one at the latest position; of a request and a part with as many, the request. While a prompt part has far more crashes than any cause with
 /// enough of them, it may turn out to be the cause, so none is returned.
 fn strongest<'a>(open: &[Candidate<'a>], explained: &BTreeSet<CrashId>) -> Option<Candidate<'a>> {
     let mut max_count = 0;
@@ -124,7 +127,7 @@
             counted.push((crashes.len(), candidate));
         }
     }
-    let min_count = max_count as f64 * MIN_SPECIFIC_SHARE;
+    let min_count = max_count as f64 * MIN_CRASH_SHARE;
     counted.retain(|(count, candidate)| is_request(candidate) || *count as f64 >= min_count);
     let (most, first) = counted
         .iter()
@@ -132,12 +135,13 @@
     if is_request(first) {
         return Some(**first);
     }
-    let min_count = *most as f64 * MIN_SPECIFIC_SHARE;
+    let min_count = *most as f64 * MIN_CRASH_SHARE;
     let parts = counted
         .iter()
         .filter(|(count, candidate)| !is_request(candidate) && *count as f64 >= min_count);
-    let latest = parts.max_by_key(|(count, candidate)| (candidate.depth, *count));
-    latest.map(|(_, candidate)| **candidate)
+    let likeliest =
+        parts.max_by_key(|(count, candidate)| (!candidate.was_answered, candidate.depth, *count));
+    likeliest.map(|(_, candidate)| **candidate)
 }
 
 const fn is_request(candidate: &Candidate<'_>) -> bool {
--- a/papayatray_core/src/gateway/crashes.rs
+++ b/papayatray_core/src/gateway/crashes.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::answers::AnswerReport;
 use super::attribution;
 use super::attribution::Attribution;
 use super::attribution::Candidate;
@@ -217,6 +218,8 @@
     crashes: BTreeMap<CrashId, Crash>,
     /// Largest position of the part in a prompt; 0 for a request.
     depth: usize,
+    /// Whether a request with the cause was ever answered, as far as entries remember.
+    was_answered: bool,
     /// First publication as a suspect.
     publication: Option<Publication>,
     /// End of the quarantine that is in force.
@@ -333,6 +336,7 @@
                     service: lost.service.clone(),
                     crashes: BTreeMap::new(),
                     depth: 0,
+                    was_answered: false,
                     publication: None,
                     held_until: None,
                     quarantines: 0,
@@ -359,11 +363,28 @@
         self.last_crash_id
     }
 
+    /// Records the answers that an entry reports at the time `now`.
+    pub fn record_report(&mut self, report: &AnswerReport, now: Millis) {
+        for (service, age) in &report.services {
+            self.record_service_answer(service, now.since(*age));
+        }
+        for (cause, age) in &report.causes {
+            self.record_answer(*cause, now.since(*age));
+        }
+        for cause in &report.earlier {
+            if let Some(record) = self.records.get_mut(cause) {
+                self.has_new_evidence |= !record.was_answered;
+                record.was_answered = true;
+            }
+        }
+    }
+
     /// Records that an endpoint began at `began_at` to answer a request with the cause, and went on.
     ///
     /// Crashes before that were not due to the cause.
     pub fn record_answer(&mut self, cause: CrashCause, began_at: Millis) {
         if let Some(record) = self.records.get_mut(&cause) {
+            record.was_answered = true;
             let before = record.crashes.len();
             record
                 .crashes
@@ -419,6 +440,7 @@
             Candidate {
                 cause: *cause,
                 depth: record.depth,
+                was_answered: record.was_answered,
                 crashes: &record.crashes,
                 is_relapse: record.is_relapse(),
                 may_be_chosen: record.held_until.is_some() || record.is_relapse() || is_answered,
--- a/papayatrayd/src/gateway/control_state/sync.rs
+++ b/papayatrayd/src/gateway/control_state/sync.rs
@@ -255,12 +255,7 @@
             .map(|report| LostRequest::from_report(report, now))
             .collect();
         self.crashes.record(&lost);
-        for (service, age) in &request.answers.services {
-            self.crashes.record_service_answer(service, now.since(*age));
-        }
-        for (cause, age) in &request.answers.causes {
-            self.crashes.record_answer(*cause, now.since(*age));
-        }
+        self.crashes.record_report(&request.answers, now);
     }
 
     /// Returns the findings on crashes, unless the entry has received them; `seen` is `None` if it has
--- a/papayatrayd/src/gateway/state/crashes.rs
+++ b/papayatrayd/src/gateway/state/crashes.rs
@@ -295,7 +295,11 @@
         let now = self.clock.now();
         let mut crashes = lock(&self.crashes);
         if crashes.own.needs_evaluation(now) {
-            // The entry's own answers are recorded at once.
+            let report = crashes
+                .answers
+                .report(&crashes.own.findings().suspected, now);
+            crashes.own.record_report(&report, now);
+            // Nobody else has to answer.
             let changes = crashes.own.evaluate(u64::MAX, now);
             drop(crashes);
             log_changes(&changes, "entry");
