--- a/papayatray_core/src/gateway/attribution.rs
+++ b/papayatray_core/src/gateway/attribution.rs
@@ -77,7 +77,7 @@
     let mut chosen = BTreeSet::new();
     loop {
         open.retain(|candidate| !chosen.contains(&candidate.cause));
-        // A stronger cause that entries have not answered for yet must not be passed over.
+        // No weaker cause is chosen while entries have not yet answered about a stronger one.
         let Some(next) = strongest(&open, &explained).filter(|next| next.may_be_chosen) else {
             break;
         };
@@ -114,9 +114,10 @@
 
 /// Returns the cause with the most unexplained crashes, if they are enough.
 ///
-/// Of prompt parts with almost as many, one with which no request was ever answered is returned, and of
-/// these the one at the latest position; of a request and a part with as many, the request. While a prompt part has far more crashes than any cause with
-/// enough of them, it may turn out to be the cause, so none is returned.
+/// Of a request and a prompt part with as many crashes, the request is returned. Of parts with almost
+/// as many, it is one with which no request was ever answered, and of these the one at the latest
+/// position. While a part has far more crashes than any cause with enough of them, it may turn out to
+/// be the cause, so none is returned.
 fn strongest<'a>(open: &[Candidate<'a>], explained: &BTreeSet<CrashId>) -> Option<Candidate<'a>> {
     let mut max_count = 0;
     let mut counted: Vec<(usize, &Candidate<'a>)> = Vec::new();
--- a/papayatray_core/tests/core/gateway_crash_load.rs
+++ b/papayatray_core/tests/core/gateway_crash_load.rs
@@ -28,7 +28,7 @@
 const SYNC_MS: u64 = 200;
 /// Interval at which the replica evaluates, in milliseconds.
 const EVALUATION_MS: u64 = 100;
-/// Time after the start of an answer until a crash is no longer put down to it.
+/// Time after the start of an answer from which crashes are not attributed to the request.
 const ANSWER_START_MS: u64 = 250;
 /// Time until a crashed endpoint is back, in milliseconds.
 const RESTART_MS: u64 = 3_000;
--- a/papayatrayd/src/gateway/state/crashes.rs
+++ b/papayatrayd/src/gateway/state/crashes.rs
@@ -38,8 +38,8 @@
 /// Time for which what a former leader had quarantined stays so; its successor, or the same replica
 /// after a restart, evaluates the evidence anew meanwhile.
 const HANDOVER_TIME: Millis = Millis::from_secs(30);
-/// Time from the first event of a stream after which a crash is no longer put down to the start of
-/// the answer; such crashes follow within a tenth of a second.
+/// Time after the first event of a stream from which crashes are not attributed to the request;
+/// requests that crash endpoints do so within a tenth of a second of the response head.
 pub(in crate::gateway) const ANSWER_START: Millis = Millis::new(250);
 
 /// Attempt whose connection was lost.
@@ -299,7 +299,7 @@
                 .answers
                 .report(&crashes.own.findings().suspected, now);
             crashes.own.record_report(&report, now);
-            // Nobody else has to answer.
+            // Only this entry's answers count, and they are recorded.
             let changes = crashes.own.evaluate(u64::MAX, now);
             drop(crashes);
             log_changes(&changes, "entry");
