feat(gateway): log and count the endpoints that an entry cannot connect to

Logs and metrics could not tell an entry that is cut off from endpoints that are down: attempts named the error, but no line marked the first and last connection that failed, and no gauge counted the endpoints out of reach. Now one line for each failed connection (endpoint_unreachable), one when several fail in a row and when connections are opened again (reach_changed), and the gauge endpoints_unreachable.

The evidence is kept by papayatray_core::gateway::reach, which decides nothing yet. A connection that cannot be opened is an error of its own, Unreachable, apart from one that does not take a request.

--- a/papayatray_core/src/gateway/mod.rs
+++ b/papayatray_core/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod plan;
 pub mod prefix_directory;
 pub mod rate_limits;
+pub mod reach;
 pub mod release_evidence;
 pub mod replicas;
 pub mod rollout;
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -19,6 +19,7 @@
 mod gateway_plan;
 mod gateway_prefixes;
 mod gateway_rate_limits;
+mod gateway_reach;
 mod gateway_replicas;
 mod gateway_rollout;
 mod gateway_slowness;
--- a/papayatrayd/src/gateway/attempt.rs
+++ b/papayatrayd/src/gateway/attempt.rs
@@ -153,8 +153,8 @@
         health.record_failure(&self.endpoint.id, now);
     }
 
-    /// Records that no connection could be opened, and closes the pooled ones.
-    pub(super) fn record_unreachable(&self) {
+    /// Records that a connection did not take the request, and closes the pooled ones.
+    pub(super) fn record_not_sent(&self) {
         let now = self.gateway.clock.now();
         self.gateway.connections.close_idle(&self.endpoint.id);
         let mut fleet = self.gateway.fleet();
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -264,13 +264,7 @@
         let now = self.gateway.clock.now();
         let remaining = self.request.remaining(now);
         let outgoing = self.outgoing_request(&attempt, remaining);
-        let exchange = async {
-            let response = self
-                .gateway
-                .connections
-                .exchange(&attempt.endpoint, &outgoing, now);
-            Some(response.await)
-        };
+        let exchange = async { Some(self.gateway.exchange(&attempt.endpoint, &outgoing).await) };
         let timeout = async {
             Timer::after(remaining.to_duration()).await;
             None
@@ -284,8 +278,13 @@
         self.log_attempt(&attempt, result.as_ref());
         match result {
             Some(Ok(received)) => self.check_response(attempt, received),
+            Some(Err(ExchangeError::Unreachable(_))) => {
+                self.arrivals -= 1;
+                self.record_rejection(&attempt);
+                Ok(None)
+            }
             Some(Err(ExchangeError::NotSent(_))) => {
-                attempt.record_unreachable();
+                attempt.record_not_sent();
                 self.arrivals -= 1;
                 self.record_rejection(&attempt);
                 Ok(None)
@@ -427,6 +426,7 @@
     ) {
         self.gateway.metrics.count_attempt(match result {
             Some(Ok(_)) => "answered",
+            Some(Err(ExchangeError::Unreachable(_))) => "unreachable",
             Some(Err(ExchangeError::NotSent(_))) => "not_sent",
             Some(Err(ExchangeError::Lost(_))) => "lost",
             Some(Err(ExchangeError::Withdrawn(_))) => "withdrawn",
--- a/papayatrayd/src/gateway/connection_pool.rs
+++ b/papayatrayd/src/gateway/connection_pool.rs
@@ -25,7 +25,6 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use super::fleet::SelectedEndpoint;
 use super::limited_stream::HeadLimit;
 use super::limited_stream::LimitedStream;
 use crate::observe::Level;
@@ -54,6 +53,8 @@
 /// Reason why an exchange produced no response.
 #[derive(Debug, Display)]
 pub enum ExchangeError {
+    /// no connection to the endpoint could be opened: {0}
+    Unreachable(std::io::Error),
     /// the request was not sent to the endpoint: {0}
     NotSent(String),
     /// the connection was lost, and the endpoint may have run the request: {0}
@@ -141,32 +142,6 @@
         }
     }
 
-    /// Sends a request and waits for the head of the response.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`ExchangeError::NotSent`] if the endpoint certainly received nothing, and
-    /// [`ExchangeError::Lost`] if it may have run the request.
-    pub async fn exchange(
-        &self,
-        endpoint: &SelectedEndpoint,
-        outgoing: &OutgoingRequest,
-        now: Millis,
-    ) -> Result<EndpointResponse, ExchangeError> {
-        if !outgoing.needs_new_connection
-            && let Some(connection) = self.take(&endpoint.id, now).await
-        {
-            match send_request(connection, outgoing).await {
-                // The endpoint may have closed the pooled connection meanwhile, which is no
-                // failure: retry on a new one.
-                Err(ExchangeError::NotSent(_)) => {}
-                other => return other,
-            }
-        }
-        let connection = self.open(endpoint.address).await?;
-        send_request(connection, outgoing).await
-    }
-
     /// Adds a connection to the pool; the body of its last response must have been read to its end.
     ///
     /// `headers` are those of that response. If they announce a keep-alive time, the connection is
@@ -208,7 +183,7 @@
     }
 
     /// Removes and returns an idle connection that is ready for a request, if there is one.
-    async fn take(&self, id: &EndpointId, now: Millis) -> Option<EndpointConnection> {
+    pub(super) async fn take(&self, id: &EndpointId, now: Millis) -> Option<EndpointConnection> {
         loop {
             let mut last = {
                 let mut idle = self.idle();
@@ -229,14 +204,23 @@
         }
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<EndpointConnection, ExchangeError> {
+    /// Opens a connection to an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::Unreachable`] if the connection is refused or not established in time,
+    /// and [`ExchangeError::NotSent`] if it cannot be used.
+    pub(super) async fn open(
+        &self,
+        address: SocketAddr,
+    ) -> Result<EndpointConnection, ExchangeError> {
         let not_sent = |error: std::io::Error| ExchangeError::NotSent(error.to_string());
         let timeout = async {
             Timer::after(CONNECT_TIMEOUT.to_duration()).await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
         let stream = TcpStream::connect(address).or(timeout).await;
-        let stream = stream.map_err(not_sent)?;
+        let stream = stream.map_err(ExchangeError::Unreachable)?;
         stream.set_nodelay(true).map_err(not_sent)?;
         set_unacknowledged_timeout(&stream).map_err(not_sent)?;
         let head_limit = HeadLimit::default();
@@ -283,7 +267,13 @@
     connecting.or(timeout).await
 }
 
-async fn send_request(
+/// Sends a request over a connection and waits for the head of the response.
+///
+/// # Errors
+///
+/// Returns [`ExchangeError::NotSent`] if the endpoint certainly received nothing, and
+/// [`ExchangeError::Lost`] if it may have run the request.
+pub(super) async fn send_request(
     mut connection: EndpointConnection,
     outgoing: &OutgoingRequest,
 ) -> Result<EndpointResponse, ExchangeError> {
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -21,6 +21,7 @@
 use papayatray_core::gateway::rate_limits::RateLimits;
 use papayatray_core::gateway::rate_limits::RateStatement;
 use papayatray_core::gateway::rate_limits::RequestRate;
+use papayatray_core::gateway::reach::Reach;
 use papayatray_core::gateway::rollout::ReleaseEligibility;
 use papayatray_core::gateway::slot_reservation;
 use papayatray_core::gateway::slot_reservation::SlotReservation;
@@ -35,6 +36,7 @@
 use papayatray_wire::peer::Deregistration;
 use papayatray_wire::peer::EndpointUpdates;
 
+mod reach;
 mod statements;
 
 /// Heartbeat intervals without a heartbeat after which an endpoint counts as silent.
@@ -118,6 +120,8 @@
     /// Additions to `cached_prefixes` by this entry, to be sent to the other entries.
     prefix_updates: UpdateLog<CachedPrefix>,
     health: BTreeMap<ServiceId, Health>,
+    /// Endpoints to which this entry can open connections.
+    reach: Reach,
     /// Endpoints that want no requests from this entry for a time.
     pauses: Pauses,
     /// Requests a second that endpoints state they take from all entries together.
@@ -143,6 +147,7 @@
             cached_prefixes: PrefixDirectory::default(),
             prefix_updates: UpdateLog::new(MAX_PREFIX_UPDATES),
             health: BTreeMap::new(),
+            reach: Reach::default(),
             pauses: Pauses::default(),
             rate_limits: RateLimits::default(),
             reservation: SlotReservation::default(),
@@ -178,6 +183,7 @@
                 .directory
                 .deregister_incarnation(&deregistration.id, deregistration.incarnation)
             {
+                self.reach.forget(&deregistration.id);
                 self.pauses.forget(&deregistration.id);
                 self.rate_limits.forget(&deregistration.id);
                 ids_to_close.push(deregistration.id.clone());
@@ -194,6 +200,7 @@
             health.forget(id);
         }
         self.cached_prefixes.forget(id);
+        self.reach.forget(id);
         self.pauses.forget(id);
         self.rate_limits.forget(id);
     }
--- a/papayatrayd/src/gateway/metrics.rs
+++ b/papayatrayd/src/gateway/metrics.rs
@@ -53,6 +53,8 @@
     pub entries: usize,
     /// Requests and prompt parts with evidence that they crash endpoints.
     pub suspects: usize,
+    /// Endpoints to which this entry's last connection failed.
+    pub unreachable: usize,
     /// Whether this control replica holds the leader lease.
     pub is_leader: bool,
 }
@@ -71,6 +73,7 @@
     endpoints: Gauge,
     entries: Gauge,
     suspects: Gauge,
+    unreachable: Gauge,
     is_leader: Gauge,
     dropped_lines: Gauge,
     suppressed_lines: Gauge,
@@ -90,6 +93,7 @@
             endpoints: Gauge::default(),
             entries: Gauge::default(),
             suspects: Gauge::default(),
+            unreachable: Gauge::default(),
             is_leader: Gauge::default(),
             dropped_lines: Gauge::default(),
             suppressed_lines: Gauge::default(),
@@ -140,6 +144,11 @@
                 "Requests and prompt parts with evidence that they crash endpoints",
                 &self.suspects,
             ),
+            (
+                "endpoints_unreachable",
+                "Endpoints to which this entry's last connection failed",
+                &self.unreachable,
+            ),
             (
                 "leads",
                 "1 on the control replica that leads, else 0",
@@ -198,6 +207,7 @@
         self.endpoints.set(to_gauge(values.endpoints as u64));
         self.entries.set(to_gauge(values.entries as u64));
         self.suspects.set(to_gauge(values.suspects as u64));
+        self.unreachable.set(to_gauge(values.unreachable as u64));
         self.is_leader.set(i64::from(values.is_leader));
         self.dropped_lines.set(to_gauge(dropped));
         self.suppressed_lines.set(to_gauge(suppressed));
--- a/papayatrayd/src/gateway/mod.rs
+++ b/papayatrayd/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod daemon;
 mod dialect;
 mod events;
+mod exchange;
 mod fleet;
 mod headers;
 mod limited_stream;
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -37,6 +37,7 @@
 
 mod crashes;
 mod entries;
+mod reach;
 mod releases;
 mod statements;
 
@@ -342,6 +343,7 @@
             endpoints,
             entries: self.entries().len(),
             suspects: self.suspect_count(),
+            unreachable: self.fleet().unreachable_count(),
             is_leader: false,
         })
     }
