test(gateway): an entry that cannot connect to endpoints serves through another entry

The two entries run in one process over real sockets, and differ in the addresses that they are told for the endpoints.

--- a/papayatrayd/tests/gateway/endpoint.rs
+++ b/papayatrayd/tests/gateway/endpoint.rs
@@ -11,6 +11,50 @@
 use std::thread;
 use std::time::Duration;
 
+/// Time after which a connection counts as not established, far longer than one takes on loopback.
+const FULL_QUEUE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// How connections to an address fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// They are refused.
+    Refused,
+    /// They are never established, as packets get no reply.
+    Silent,
+}
+
+/// Address to which no connection can be opened until it is dropped.
+pub struct DeadAddress {
+    /// The address.
+    pub address: SocketAddr,
+    /// Listener whose queue is full, and the connections that fill it; none if they are refused.
+    _listener: Option<(TcpListener, Vec<TcpStream>)>,
+}
+
+impl DeadAddress {
+    /// Returns an address to which connections fail in this way.
+    pub fn new(failure: Failure) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        if failure == Failure::Refused {
+            return Self {
+                address,
+                _listener: None,
+            };
+        }
+        rustix::net::listen(&listener, 0).unwrap();
+        let mut queued = Vec::new();
+        // The system drops the packets that open a connection once the queue is full.
+        while let Ok(stream) = TcpStream::connect_timeout(&address, FULL_QUEUE_TIMEOUT) {
+            queued.push(stream);
+        }
+        Self {
+            address,
+            _listener: Some((listener, queued)),
+        }
+    }
+}
+
 /// Step of a scripted response.
 #[derive(Clone, Debug)]
 pub enum Step {
--- a/papayatrayd/tests/gateway/main.rs
+++ b/papayatrayd/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod pauses;
 mod rate_limits;
+mod reach;
 mod relay;
 mod rig;
 mod settings;
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -265,12 +265,17 @@
             sequence,
             ..announcement(index, fake)
         });
+        self.apply_announcements(plan, changed.collect());
+    }
+
+    /// Applies an update like [`Self::apply_update`], with these announcements of endpoints.
+    pub fn apply_announcements(&self, plan: Plan, changed: Vec<Endpoint>) {
         let reply = SyncReply {
             is_current: true,
             version: plan.version,
             plan: Some(plan),
             endpoints: EndpointUpdates {
-                changed: changed.collect(),
+                changed,
                 ..EndpointUpdates::default()
             },
             ..SyncReply::default()
@@ -279,6 +284,12 @@
         self.gateway.apply_sync("control", reply, now);
     }
 
+    /// Applies a list of entries that holds these ones.
+    pub fn apply_peers(&self, peers: &[&Self]) {
+        let changed = peers.iter().map(|peer| peer.gateway.info());
+        self.apply_entry_list(changed.collect());
+    }
+
     /// Applies the list of entries of a control replica that has just started.
     pub fn apply_entries<I>(&self, names: I)
     where
@@ -288,11 +299,15 @@
             vm: VmId::new(name).unwrap(),
             ..self.gateway.info()
         });
+        self.apply_entry_list(changed.collect());
+    }
+
+    fn apply_entry_list(&self, changed: Vec<EntryInfo>) {
         let reply = SyncReply {
             entries: EntryUpdates {
                 number: 1,
                 is_complete: true,
-                changed: changed.collect(),
+                changed,
                 removed: Vec::new(),
             },
             ..SyncReply::default()
