fix(gateway): send through another entry to endpoints that this entry cannot connect to

Cause: an entry had no way to an endpoint but its own connections, and took their loss for a fault of the endpoints. Evidence: each of the three entries was refused by all 22 endpoints, which answered the other four in the same seconds. Ruled out: more tries would have met the same refusals; the lists that callers get decide how many are hit, not that they are refused.

Change: connections that fail to three endpoints of a service in a row, none opened in between, make the entry take itself for cut off; a connection that hangs makes the same request go on through another entry at once. The other entry carries one attempt to the endpoint that was chosen; route, retries, budgets, rate limits and streams stay with the entry that has the caller, so that what has run is known exactly. It declines what it cannot carry, and never passes on to a third. An entry that could not connect either says so: then the endpoint is ejected as before, and three such answers refute the cut. Probes find its end.

Why it works: what the endpoints do for the others they do for the cut entry.

--- a/papayatray_bench/src/propagation.rs
+++ b/papayatray_bench/src/propagation.rs
@@ -211,6 +211,7 @@
         caller_address: format!("10.0.{}.{}:8000", number / 250, number % 250),
         peer_address: format!("10.0.{}.{}:7000", number / 250, number % 250),
         draining: false,
+        is_cut_off: false,
     }
 }
 
--- a/papayatray_core/src/gateway/mod.rs
+++ b/papayatray_core/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod entry_register;
 pub mod entry_roster;
 pub mod freshness;
+pub mod hops;
 pub mod load_table;
 pub mod pauses;
 pub mod placement;
--- a/papayatray_core/src/gateway/reach.rs
+++ b/papayatray_core/src/gateway/reach.rs
@@ -11,6 +11,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use displaydoc::Display;
+
 use crate::clock::Millis;
 use crate::id::EndpointId;
 use crate::id::ServiceId;
@@ -25,12 +27,13 @@
 /// Time for which a service is not taken for cut off again after other entries have refuted it.
 const REFUTED_TIME: Millis = Millis::from_secs(1);
 
-/// Way on which a request gets to an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Way on which a request gets to an endpoint: over a connection of this entry, or through another
+/// entry.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Path {
-    /// Over a connection from this entry.
+    /// direct
     Direct,
-    /// Through another entry.
+    /// indirect
     Indirect,
 }
 
--- a/papayatray_core/src/health.rs
+++ b/papayatray_core/src/health.rs
@@ -92,6 +92,14 @@
         self.records.entry(id.clone()).or_default().eject(now);
     }
 
+    /// Ends the ejection of an endpoint that was not at fault.
+    pub fn readmit(&mut self, id: &EndpointId) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.ejected_until = None;
+            record.ejections = record.ejections.saturating_sub(1);
+        }
+    }
+
     /// Drops the statistics of an endpoint that is gone or was restarted.
     pub fn forget(&mut self, id: &EndpointId) {
         self.records.remove(id);
--- a/papayatray_core/src/lease.rs
+++ b/papayatray_core/src/lease.rs
@@ -39,6 +39,9 @@
     pub peer_address: String,
     /// Whether the entry is draining and takes no new callers.
     pub draining: bool,
+    /// Whether the entry is cut off from endpoints that other entries reach.
+    #[serde(default)]
+    pub is_cut_off: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/papayatray_core/tests/core/gateway_entries.rs
+++ b/papayatray_core/tests/core/gateway_entries.rs
@@ -20,6 +20,7 @@
         caller_address: format!("10.0.0.{number}:80"),
         peer_address: String::new(),
         draining,
+        is_cut_off: false,
     }
 }
 
--- a/papayatray_core/tests/core/lease.rs
+++ b/papayatray_core/tests/core/lease.rs
@@ -22,6 +22,7 @@
         caller_address: format!("127.0.0.1:{}", 1_000 + number),
         peer_address: format!("127.0.0.1:{}", 2_000 + number),
         draining: false,
+        is_cut_off: false,
     }
 }
 
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -12,6 +12,7 @@
 mod gateway_crash_load;
 mod gateway_crashes;
 mod gateway_entries;
+mod gateway_hops;
 mod gateway_limits;
 mod gateway_loads;
 mod gateway_pauses;
--- a/papayatray_wire/src/link/handshake.rs
+++ b/papayatray_wire/src/link/handshake.rs
@@ -21,6 +21,12 @@
 const DOWN: &[u8] = b"down";
 const UP: &[u8] = b"up";
 
+/// Nonces of both ends.
+struct Nonces {
+    connecting: Nonce,
+    accepting: Nonce,
+}
+
 /// Opens the connecting end of a link over `stream`.
 ///
 /// # Errors
@@ -30,23 +36,10 @@
     mut stream: TcpStream,
     key: &ClusterKey,
 ) -> Result<(Sender, Receiver), LinkError> {
-    stream.set_nodelay(true)?;
-    let local_nonce: Nonce = rand::rng().random();
-    stream.write_all(&local_nonce).await?;
-    let mut peer_nonce = Nonce::default();
-    stream.read_exact(&mut peer_nonce).await?;
-    let mut server_mac = [0; 32];
-    stream.read_exact(&mut server_mac).await?;
-    if !key.verify_mac(&[SERVER, &local_nonce, &peer_nonce], server_mac) {
-        return Err(LinkError::WrongKey);
-    }
-    let client_mac = key.compute_mac(&[CLIENT, &local_nonce, &peer_nonce]);
-    stream.write_all(client_mac.as_bytes()).await?;
-    let up_key = key.compute_mac(&[UP, &local_nonce, &peer_nonce]);
-    let down_key = key.compute_mac(&[DOWN, &local_nonce, &peer_nonce]);
+    let nonces = prove_as_client(&mut stream, key).await?;
     Ok((
-        Sender::new(stream.clone(), up_key),
-        Receiver::new(stream, down_key),
+        Sender::new(stream.clone(), direction_key(key, UP, &nonces)),
+        Receiver::new(stream, direction_key(key, DOWN, &nonces)),
     ))
 }
 
@@ -59,22 +52,75 @@
     mut stream: TcpStream,
     key: &ClusterKey,
 ) -> Result<(Sender, Receiver), LinkError> {
+    let nonces = prove_as_server(&mut stream, key).await?;
+    Ok((
+        Sender::new(stream.clone(), direction_key(key, DOWN, &nonces)),
+        Receiver::new(stream, direction_key(key, UP, &nonces)),
+    ))
+}
+
+/// Proves to each other, as the connecting end, that both ends have the key.
+///
+/// `stream` can carry any protocol afterwards; unlike frames, its bytes have no authentication codes.
+///
+/// # Errors
+///
+/// Fails if the stream does, or if the other end does not have the key.
+pub async fn authenticate(stream: &mut TcpStream, key: &ClusterKey) -> Result<(), LinkError> {
+    prove_as_client(stream, key).await.map(|_nonces| ())
+}
+
+/// Proves to each other, as the accepting end, that both ends have the key; like [`authenticate`].
+///
+/// # Errors
+///
+/// Fails if the stream does, or if the other end does not have the key.
+pub async fn authenticate_client(
+    stream: &mut TcpStream,
+    key: &ClusterKey,
+) -> Result<(), LinkError> {
+    prove_as_server(stream, key).await.map(|_nonces| ())
+}
+
+async fn prove_as_client(stream: &mut TcpStream, key: &ClusterKey) -> Result<Nonces, LinkError> {
     stream.set_nodelay(true)?;
-    let mut peer_nonce = Nonce::default();
-    stream.read_exact(&mut peer_nonce).await?;
-    let local_nonce: Nonce = rand::rng().random();
-    let server_mac = key.compute_mac(&[SERVER, &peer_nonce, &local_nonce]);
-    stream.write_all(&local_nonce).await?;
+    let connecting: Nonce = rand::rng().random();
+    stream.write_all(&connecting).await?;
+    let mut accepting = Nonce::default();
+    stream.read_exact(&mut accepting).await?;
+    let mut server_mac = [0; 32];
+    stream.read_exact(&mut server_mac).await?;
+    if !key.verify_mac(&[SERVER, &connecting, &accepting], server_mac) {
+        return Err(LinkError::WrongKey);
+    }
+    let client_mac = key.compute_mac(&[CLIENT, &connecting, &accepting]);
+    stream.write_all(client_mac.as_bytes()).await?;
+    Ok(Nonces {
+        connecting,
+        accepting,
+    })
+}
+
+async fn prove_as_server(stream: &mut TcpStream, key: &ClusterKey) -> Result<Nonces, LinkError> {
+    stream.set_nodelay(true)?;
+    let mut connecting = Nonce::default();
+    stream.read_exact(&mut connecting).await?;
+    let accepting: Nonce = rand::rng().random();
+    let server_mac = key.compute_mac(&[SERVER, &connecting, &accepting]);
+    stream.write_all(&accepting).await?;
     stream.write_all(server_mac.as_bytes()).await?;
     let mut client_mac = [0; 32];
     stream.read_exact(&mut client_mac).await?;
-    if !key.verify_mac(&[CLIENT, &peer_nonce, &local_nonce], client_mac) {
+    if !key.verify_mac(&[CLIENT, &connecting, &accepting], client_mac) {
         return Err(LinkError::WrongKey);
     }
-    let up_key = key.compute_mac(&[UP, &peer_nonce, &local_nonce]);
-    let down_key = key.compute_mac(&[DOWN, &peer_nonce, &local_nonce]);
-    Ok((
-        Sender::new(stream.clone(), down_key),
-        Receiver::new(stream, up_key),
-    ))
+    Ok(Nonces {
+        connecting,
+        accepting,
+    })
+}
+
+/// Returns the key of the authentication codes of frames in one direction.
+fn direction_key(key: &ClusterKey, label: &[u8], nonces: &Nonces) -> blake3::Hash {
+    key.compute_mac(&[label, &nonces.connecting, &nonces.accepting])
 }
--- a/papayatray_wire/src/link/mod.rs
+++ b/papayatray_wire/src/link/mod.rs
@@ -10,5 +10,7 @@
 pub use frame::Receiver;
 pub use frame::Sender;
 pub use handshake::accept;
+pub use handshake::authenticate;
+pub use handshake::authenticate_client;
 pub use handshake::connect;
 pub use key::ClusterKey;
--- a/papayatrayd/src/bin/papayatray-gateway.rs
+++ b/papayatrayd/src/bin/papayatray-gateway.rs
@@ -97,6 +97,7 @@
     };
     let role = EntryRole {
         caller_address: entry.caller_address,
+        peer_address: entry.peer_address,
         dialect: Arc::new(HeaderDialect::default()),
         listeners,
         read_seeds: Arc::new(read_seeds),
--- a/papayatrayd/src/entry/core.rs
+++ b/papayatrayd/src/entry/core.rs
@@ -331,6 +331,7 @@
             caller_address: self.settings.caller_address.to_string(),
             peer_address: self.daemon_settings.file.peer_address.to_string(),
             draining: self.shutdown_stage() != ShutdownStage::Serving,
+            is_cut_off: false,
         }
     }
 
--- a/papayatrayd/src/gateway/attempt.rs
+++ b/papayatrayd/src/gateway/attempt.rs
@@ -35,12 +35,7 @@
         if self.is_reusable {
             let now = self.attempt.gateway.clock.now();
             let connections = &self.attempt.gateway.connections;
-            connections.put(
-                &self.attempt.endpoint.id,
-                self.connection,
-                &self.head.headers,
-                now,
-            );
+            connections.put(self.connection, &self.head.headers, now);
         }
     }
 }
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -5,6 +5,7 @@
 use http::HeaderValue;
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::crashes::CrashCause;
+use papayatray_core::gateway::reach::Path;
 use papayatray_core::gateway::slowness::ResponseKind;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::ModelId;
@@ -47,6 +48,11 @@
     pub(super) request: Arc<RoutedRequest>,
     /// Endpoints that already had an attempt and get no further one.
     pub(super) excluded: Vec<EndpointId>,
+    /// Endpoints of `excluded` to which this entry could not connect.
+    unreachable: Vec<EndpointId>,
+    /// Whether a connection to an endpoint was not established in time, so that the next attempts are
+    /// sent through other entries rather than waiting for another connection.
+    prefers_hop: bool,
     /// Index of the model in the route's `sizes`.
     pub(super) size_index: usize,
     /// Id of the last event that the caller has received, in this request or in the one that it
@@ -71,6 +77,8 @@
             gateway,
             request,
             excluded: Vec::new(),
+            unreachable: Vec::new(),
+            prefers_hop: false,
             size_index: papayatray_core::gateway::sizing::first_size(),
             possible_runs: 0,
             rejections: 0,
@@ -146,6 +154,7 @@
                     BUSY_RETRY_AFTER,
                 ));
             }
+            self.readmit_unreachable();
             let prompt = self.prompt();
             let endpoint = self.pick_endpoint(prompt)?;
             let span = self.request.span.child("gateway.attempt");
@@ -264,7 +273,11 @@
         let now = self.gateway.clock.now();
         let remaining = self.request.remaining(now);
         let outgoing = self.outgoing_request(&attempt, remaining);
-        let exchange = async { Some(self.gateway.exchange(&attempt.endpoint, &outgoing).await) };
+        let path = self.path(&attempt.endpoint);
+        let exchange = async {
+            let exchange = self.gateway.exchange(&attempt.endpoint, &outgoing, path);
+            Some(exchange.await)
+        };
         let timeout = async {
             Timer::after(remaining.to_duration()).await;
             None
@@ -275,14 +288,23 @@
         };
         self.arrivals += 1;
         let result = exchange.or(timeout).or(quarantine).await;
-        self.log_attempt(&attempt, result.as_ref());
+        self.log_attempt(&attempt, path, result.as_ref());
         match result {
             Some(Ok(received)) => self.check_response(attempt, received),
-            Some(Err(ExchangeError::Unreachable(_))) => {
+            Some(Err(ExchangeError::Unreachable(error))) => {
                 self.arrivals -= 1;
                 self.record_rejection(&attempt);
+                self.unreachable.push(attempt.endpoint.id.clone());
+                self.prefers_hop |= error.kind() == std::io::ErrorKind::TimedOut;
                 Ok(None)
             }
+            Some(Err(ExchangeError::UnreachableElsewhere | ExchangeError::Declined(_))) => {
+                self.arrivals -= 1;
+                self.record_rejection(&attempt);
+                Ok(None)
+            }
+            // The other entry may be at fault, so the endpoint is not held responsible.
+            Some(Err(ExchangeError::HopLost(_))) => self.record_failed_run(&attempt).map(|()| None),
             Some(Err(ExchangeError::NotSent(_))) => {
                 attempt.record_not_sent();
                 self.arrivals -= 1;
@@ -307,6 +329,27 @@
         }
     }
 
+    fn path(&self, endpoint: &SelectedEndpoint) -> Path {
+        if self.prefers_hop {
+            Path::Indirect
+        } else {
+            self.gateway.fleet().path(endpoint)
+        }
+    }
+
+    /// Readmits endpoints to which this entry could not connect, once it takes itself for cut off from
+    /// the service: they may answer through other entries.
+    fn readmit_unreachable(&mut self) {
+        let is_cut_off = || {
+            let fleet = self.gateway.fleet();
+            fleet.is_cut_off_from(&self.request.service)
+        };
+        if !self.unreachable.is_empty() && is_cut_off() {
+            let unreachable = std::mem::take(&mut self.unreachable);
+            self.excluded.retain(|id| !unreachable.contains(id));
+        }
+    }
+
     fn outgoing_request(&self, attempt: &InFlightAttempt, remaining: Millis) -> OutgoingRequest {
         let context = AttemptContext {
             remaining,
@@ -324,10 +367,12 @@
             headers.insert(TRACEPARENT, traceparent);
         }
         OutgoingRequest {
+            id: self.request.metadata.id.clone(),
             method: self.request.method.clone(),
             path: self.request.path.clone(),
             headers,
             body: self.request.body.clone(),
+            remaining,
             needs_new_connection: !self.request.route.kind.is_repeatable(),
         }
     }
@@ -422,13 +467,15 @@
     fn log_attempt(
         &self,
         attempt: &InFlightAttempt,
+        path: Path,
         result: Option<&Result<EndpointResponse, ExchangeError>>,
     ) {
         self.gateway.metrics.count_attempt(match result {
             Some(Ok(_)) => "answered",
             Some(Err(ExchangeError::Unreachable(_))) => "unreachable",
-            Some(Err(ExchangeError::NotSent(_))) => "not_sent",
-            Some(Err(ExchangeError::Lost(_))) => "lost",
+            Some(Err(ExchangeError::UnreachableElsewhere)) => "unreachable_elsewhere",
+            Some(Err(ExchangeError::NotSent(_) | ExchangeError::Declined(_))) => "not_sent",
+            Some(Err(ExchangeError::Lost(_) | ExchangeError::HopLost(_))) => "lost",
             Some(Err(ExchangeError::Withdrawn(_))) => "withdrawn",
             None => "timed_out",
         });
@@ -454,7 +501,9 @@
         let limit = rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
         request_event(
             &self.request.metadata.id,
-            (!is_first_success && self.size_index == 0) || rate_limit.is_some(),
+            (!is_first_success && self.size_index == 0)
+                || rate_limit.is_some()
+                || path == Path::Indirect,
             "attempt",
             &[
                 ("service", &self.request.service),
@@ -463,6 +512,7 @@
                 ("size", &self.size_index),
                 ("expected_ms", &attempt.endpoint.expected_ms),
                 ("limit", &limit),
+                ("path", &path),
                 ("runs", &self.possible_runs),
                 ("rejected", &self.rejections),
                 ("left_ms", &self.request.remaining(now).as_u64()),
--- a/papayatrayd/src/gateway/connection_pool.rs
+++ b/papayatrayd/src/gateway/connection_pool.rs
@@ -20,11 +20,16 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::crashes::CrashCause;
 use papayatray_core::id::EndpointId;
+use papayatray_wire::link;
+use papayatray_wire::link::ClusterKey;
+use papayatray_wire::link::LinkError;
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use super::fleet::SelectedEndpoint;
+use super::hop::HopGuard;
 use super::limited_stream::HeadLimit;
 use super::limited_stream::LimitedStream;
 use crate::observe::Level;
@@ -59,14 +64,32 @@
     NotSent(String),
     /// the connection was lost, and the endpoint may have run the request: {0}
     Lost(String),
+    /// no entry carries the request to the endpoint for now: {0}
+    Declined(String),
+    /// another entry could not connect to the endpoint either
+    UnreachableElsewhere,
+    /// the connection to another entry was lost, and the endpoint may have run the request: {0}
+    HopLost(String),
     /// the request was withdrawn from the endpoint, as this cause of crashes was quarantined: {0}
     Withdrawn(CrashCause),
 }
 
 impl std::error::Error for ExchangeError {}
 
-/// Open connection to an endpoint.
+/// Other end of a connection.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum ConnectionKey {
+    /// Endpoint with this id.
+    Endpoint(EndpointId),
+    /// Entry with this peer address, which carries attempts to endpoints.
+    Entry(String),
+}
+
+/// Open connection to an endpoint, or to an entry that carries attempts to endpoints.
 pub struct EndpointConnection {
+    key: ConnectionKey,
+    /// Counts the attempt that an entry carries, until its response has ended.
+    pub(super) hop: Option<HopGuard>,
     sender: SendRequest<Full<Bytes>>,
     head_limit: HeadLimit,
     /// Ends the connection when dropped.
@@ -89,6 +112,8 @@
 /// HTTP request to an endpoint.
 #[derive(Clone, Debug)]
 pub struct OutgoingRequest {
+    /// Id of the request, for the log.
+    pub id: String,
     /// HTTP method.
     pub method: http::Method,
     /// Path and query.
@@ -97,6 +122,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Time until the deadline of the request.
+    pub remaining: Millis,
     /// Whether a pooled connection must not be used: the endpoint may close one while the request
     /// is being sent, which leaves open whether the request ran.
     pub needs_new_connection: bool,
@@ -123,14 +150,14 @@
     pub is_reusable: bool,
 }
 
-/// Pool of the gateway's idle HTTP connections, by endpoint.
+/// Pool of the gateway's idle HTTP connections, by their other end.
 ///
 /// The entries of `papayatrayd` use a pool of plain TCP streams instead,
 /// [`crate::engine::ConnectionPool`].
 #[derive(Debug)]
 pub struct ConnectionPool {
     tasks: Tasks,
-    idle: Mutex<BTreeMap<EndpointId, Vec<IdleConnection>>>,
+    idle: Mutex<BTreeMap<ConnectionKey, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
@@ -145,20 +172,15 @@
     /// Adds a connection to the pool; the body of its last response must have been read to its end.
     ///
     /// `headers` are those of that response. If they announce a keep-alive time, the connection is
-    /// reused only for a part of it. If the pool of the endpoint is full, the connection is closed.
-    pub fn put(
-        &self,
-        id: &EndpointId,
-        connection: EndpointConnection,
-        headers: &HeaderMap,
-        now: Millis,
-    ) {
+    /// reused only for a part of it. If the pool of the other end is full, the connection is closed.
+    pub fn put(&self, mut connection: EndpointConnection, headers: &HeaderMap, now: Millis) {
+        connection.hop = None;
         let keep_alive = keep_alive_timeout(headers);
         let max_idle = keep_alive.map_or(MAX_IDLE_TIME, |timeout| {
             Millis::new(timeout.as_u64() / KEEP_ALIVE_DIVISOR).min(MAX_IDLE_TIME)
         });
         let mut idle = self.idle();
-        let connections = idle.entry(id.clone()).or_default();
+        let connections = idle.entry(connection.key.clone()).or_default();
         connections.retain(|conn| conn.expires_at > now && !conn.connection.sender.is_closed());
         if connections.len() < MAX_IDLE_CONNECTIONS {
             connections.push(IdleConnection {
@@ -170,7 +192,7 @@
 
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, id: &EndpointId) {
-        self.idle().remove(id);
+        self.idle().remove(&ConnectionKey::Endpoint(id.clone()));
     }
 
     /// Closes the connections whose idle time has expired, or that the endpoints have closed.
@@ -183,11 +205,15 @@
     }
 
     /// Removes and returns an idle connection that is ready for a request, if there is one.
-    pub(super) async fn take(&self, id: &EndpointId, now: Millis) -> Option<EndpointConnection> {
+    pub(super) async fn take(
+        &self,
+        key: &ConnectionKey,
+        now: Millis,
+    ) -> Option<EndpointConnection> {
         loop {
             let mut last = {
                 let mut idle = self.idle();
-                idle.get_mut(id)?.pop()?
+                idle.get_mut(key)?.pop()?
             };
             if last.expires_at <= now || last.connection.sender.is_closed() {
                 continue;
@@ -212,15 +238,46 @@
     /// and [`ExchangeError::NotSent`] if it cannot be used.
     pub(super) async fn open(
         &self,
+        endpoint: &SelectedEndpoint,
+    ) -> Result<EndpointConnection, ExchangeError> {
+        let key = ConnectionKey::Endpoint(endpoint.id.clone());
+        let stream = connect(endpoint.address).await;
+        self.start(key, stream.map_err(ExchangeError::Unreachable)?)
+            .await
+    }
+
+    /// Opens a connection to another entry, on which both prove that they have the deployment's key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection cannot be opened in time or the key is not the same.
+    pub(super) async fn open_authenticated(
+        &self,
+        key: ConnectionKey,
         address: SocketAddr,
+        cluster_key: &ClusterKey,
     ) -> Result<EndpointConnection, ExchangeError> {
-        let not_sent = |error: std::io::Error| ExchangeError::NotSent(error.to_string());
+        let not_sent = |error: LinkError| ExchangeError::NotSent(error.to_string());
+        let opening = async {
+            let mut stream = connect(address).await?;
+            link::authenticate(&mut stream, cluster_key).await?;
+            Ok(stream)
+        };
         let timeout = async {
             Timer::after(CONNECT_TIMEOUT.to_duration()).await;
-            Err(std::io::ErrorKind::TimedOut.into())
+            Err(LinkError::Timeout)
         };
-        let stream = TcpStream::connect(address).or(timeout).await;
-        let stream = stream.map_err(ExchangeError::Unreachable)?;
+        let stream = opening.or(timeout).await;
+        self.start(key, stream.map_err(not_sent)?).await
+    }
+
+    /// Starts to speak HTTP over a connection.
+    async fn start(
+        &self,
+        key: ConnectionKey,
+        stream: TcpStream,
+    ) -> Result<EndpointConnection, ExchangeError> {
+        let not_sent = |error: std::io::Error| ExchangeError::NotSent(error.to_string());
         stream.set_nodelay(true).map_err(not_sent)?;
         set_unacknowledged_timeout(&stream).map_err(not_sent)?;
         let head_limit = HeadLimit::default();
@@ -243,28 +300,31 @@
             }
         });
         Ok(EndpointConnection {
+            key,
+            hop: None,
             sender,
             head_limit,
             _driver: driver_task,
         })
     }
 
-    fn idle(&self) -> MutexGuard<'_, BTreeMap<EndpointId, Vec<IdleConnection>>> {
+    fn idle(&self) -> MutexGuard<'_, BTreeMap<ConnectionKey, Vec<IdleConnection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Returns whether an address refuses connections, as after a crash of the process.
-pub(super) async fn is_connection_refused(address: SocketAddr) -> bool {
-    let connecting = async {
-        let refused = TcpStream::connect(address).await.err();
-        refused.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
-    };
+async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
     let timeout = async {
         Timer::after(CONNECT_TIMEOUT.to_duration()).await;
-        false
+        Err(std::io::ErrorKind::TimedOut.into())
     };
-    connecting.or(timeout).await
+    TcpStream::connect(address).or(timeout).await
+}
+
+/// Returns whether an address refuses connections, as after a crash of the process.
+pub(super) async fn is_connection_refused(address: SocketAddr) -> bool {
+    let refused = connect(address).await.err();
+    refused.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
 /// Sends a request over a connection and waits for the head of the response.
--- a/papayatrayd/src/gateway/daemon.rs
+++ b/papayatrayd/src/gateway/daemon.rs
@@ -25,11 +25,13 @@
 use super::control_state::ControlStateObserver;
 use super::controller::RolloutController;
 use super::dialect::Dialect;
+use super::hop::HopServer;
 use super::operator::OperatorService;
 use super::relay::Relay;
 use super::rpc;
 use super::server::Handler;
 use super::server::serve_http;
+use super::server::serve_peers;
 use super::state::Bounds;
 use super::state::Gateway;
 use super::state::ShutdownStage;
@@ -113,6 +115,9 @@
 pub struct EntryRole {
     /// Address on which callers' requests are accepted.
     pub caller_address: SocketAddr,
+    /// Address on which attempts of other entries are accepted; without one, this entry carries none and
+    /// sends none through others.
+    pub peer_address: Option<SocketAddr>,
     /// Header conventions of the deployment.
     pub dialect: Arc<dyn Dialect>,
     /// Further addresses to listen on, with the constructors of their handlers.
@@ -176,7 +181,7 @@
     tasks.run(async move {
         let clock: Arc<dyn Clock> = Arc::new(SteadyClock::new(SystemClock::default()));
         let key = ClusterKey::new(&identity.secret);
-        let peers = Arc::new(Peers::new(spawner.clone(), key));
+        let peers = Arc::new(Peers::new(spawner.clone(), key.clone()));
         // State of this entry.
         let mut gateway = Gateway::new(
             identity.vm.clone(),
@@ -189,7 +194,16 @@
         );
         set_up_traces(&gateway.traces);
         gateway.traced_permille = role.traced_permille;
+        if let Some(address) = role.peer_address {
+            gateway.enable_hops(address, key.clone());
+        }
         let gateway = Arc::new(gateway);
+        if let Some(address) = role.peer_address {
+            let listener = bind(address).await?;
+            let hop_server = Arc::new(HopServer::new(Arc::clone(&gateway)));
+            spawner.spawn(serve_peers(listener, hop_server, key, spawner.clone()));
+            spawner.spawn(Arc::clone(&gateway).watch_reach());
+        }
         let relay = Arc::new(Relay::new(Arc::clone(&gateway)));
         let listener = bind(role.caller_address).await?;
         spawner.spawn(serve_http(listener, relay, spawner.clone()));
--- a/papayatrayd/src/gateway/exchange.rs
+++ b/papayatrayd/src/gateway/exchange.rs
@@ -1,5 +1,8 @@
-//! Exchange of one attempt with its endpoint.
+//! Exchange of one attempt with its endpoint, over a connection of this entry or through another entry.
 
+use papayatray_core::gateway::reach::Path;
+
+use super::connection_pool::ConnectionKey;
 use super::connection_pool::EndpointResponse;
 use super::connection_pool::ExchangeError;
 use super::connection_pool::OutgoingRequest;
@@ -11,18 +14,41 @@
 impl Gateway {
     /// Sends a request and waits for the head of the response.
     ///
+    /// `path` is the way on which it is sent first. If no other entry carries it, it is sent directly.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::Lost`] or [`ExchangeError::HopLost`] if the endpoint may have run the
+    /// request, and another error if the endpoint certainly received nothing.
+    pub(super) async fn exchange(
+        &self,
+        endpoint: &SelectedEndpoint,
+        outgoing: &OutgoingRequest,
+        path: Path,
+    ) -> Result<EndpointResponse, ExchangeError> {
+        if path == Path::Indirect
+            && let Some(result) = self.exchange_indirectly(endpoint, outgoing).await
+        {
+            return result;
+        }
+        self.exchange_directly(endpoint, outgoing).await
+    }
+
+    /// Sends a request over a connection of this entry and waits for the head of the response.
+    ///
     /// # Errors
     ///
     /// Returns [`ExchangeError::Unreachable`] or [`ExchangeError::NotSent`] if the endpoint certainly
     /// received nothing, and [`ExchangeError::Lost`] if it may have run the request.
-    pub(super) async fn exchange(
+    pub(super) async fn exchange_directly(
         &self,
         endpoint: &SelectedEndpoint,
         outgoing: &OutgoingRequest,
     ) -> Result<EndpointResponse, ExchangeError> {
         let now = self.clock.now();
+        let key = ConnectionKey::Endpoint(endpoint.id.clone());
         if !outgoing.needs_new_connection
-            && let Some(connection) = self.connections.take(&endpoint.id, now).await
+            && let Some(connection) = self.connections.take(&key, now).await
         {
             match send_request(connection, outgoing).await {
                 // The endpoint may have closed the pooled connection meanwhile, which is no
@@ -31,7 +57,7 @@
                 other => return other,
             }
         }
-        let opened = self.connections.open(endpoint.address).await;
+        let opened = self.connections.open(endpoint).await;
         match &opened {
             Ok(_) => self.record_opened(endpoint),
             Err(error) => self.record_unreachable(endpoint, error),
--- a/papayatrayd/src/gateway/fleet.rs
+++ b/papayatrayd/src/gateway/fleet.rs
@@ -6,6 +6,7 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::directory::Directory;
 use papayatray_core::directory::Endpoint;
+use papayatray_core::directory::Offer;
 use papayatray_core::gateway::load_table::EndpointWork;
 use papayatray_core::gateway::load_table::WorkUpdates;
 use papayatray_core::gateway::pauses::Pauses;
@@ -60,6 +61,8 @@
     pub incarnation: Incarnation,
     /// Address for requests.
     pub address: SocketAddr,
+    /// Data centre of the endpoint.
+    pub data_centre: DataCentre,
     /// Service that the endpoint runs.
     pub service: ServiceId,
     /// Release that the endpoint runs.
@@ -72,6 +75,26 @@
     pub rate_limit: Option<RequestRate>,
 }
 
+impl SelectedEndpoint {
+    /// Returns an endpoint of a service, or `None` if its address cannot be parsed.
+    fn new(endpoint: &Endpoint) -> Option<Self> {
+        let Offer::Service(service) = &endpoint.offer else {
+            return None;
+        };
+        Some(Self {
+            id: endpoint.id.clone(),
+            incarnation: endpoint.incarnation,
+            address: endpoint.address.parse().ok()?,
+            data_centre: endpoint.data_centre.clone(),
+            service: service.clone(),
+            release: endpoint.release.clone(),
+            expected_ms: 0,
+            prefill_tokens: 0,
+            rate_limit: None,
+        })
+    }
+}
+
 /// Inputs of the selection of an endpoint for one attempt.
 #[derive(Clone, Copy)]
 pub(super) struct PlacementQuery<'a> {
@@ -122,6 +145,8 @@
     health: BTreeMap<ServiceId, Health>,
     /// Endpoints to which this entry can open connections.
     reach: Reach,
+    /// Whether other entries can carry requests to endpoints.
+    has_hops: bool,
     /// Endpoints that want no requests from this entry for a time.
     pauses: Pauses,
     /// Requests a second that endpoints state they take from all entries together.
@@ -148,6 +173,7 @@
             prefix_updates: UpdateLog::new(MAX_PREFIX_UPDATES),
             health: BTreeMap::new(),
             reach: Reach::default(),
+            has_hops: false,
             pauses: Pauses::default(),
             rate_limits: RateLimits::default(),
             reservation: SlotReservation::default(),
@@ -388,23 +414,16 @@
         prompt: &Prompt,
     ) -> Option<SelectedEndpoint> {
         let endpoint = self.directory.get(selection.id)?;
-        let papayatray_core::directory::Offer::Service(service) = &endpoint.offer else {
-            return None;
-        };
         let uncached_tokens = if selection.has_prefix {
             0
         } else {
             prompt.shared_tokens
         };
         Some(SelectedEndpoint {
-            id: selection.id.clone(),
             prefill_tokens: prompt.unique_tokens.saturating_add(uncached_tokens),
             expected_ms: round_millis(selection.expected_ms),
-            incarnation: endpoint.incarnation,
-            address: endpoint.address.parse().ok()?,
-            service: service.clone(),
-            release: endpoint.release.clone(),
             rate_limit: self.rate_limits.rate(selection.id, endpoint.incarnation),
+            ..SelectedEndpoint::new(endpoint)?
         })
     }
 
--- a/papayatrayd/src/gateway/server.rs
+++ b/papayatrayd/src/gateway/server.rs
@@ -22,6 +22,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use papayatray_core::clock::Millis;
+use papayatray_wire::link;
+use papayatray_wire::link::ClusterKey;
+use papayatray_wire::link::LinkError;
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::net::TcpListener;
@@ -35,6 +38,8 @@
 
 /// Back-off after a failed accept, as when file descriptors run out.
 const ACCEPT_BACKOFF: Millis = Millis::new(50);
+/// Time for the other end of a connection to prove that it has the deployment's key.
+const HANDSHAKE_TIMEOUT: Millis = Millis::from_secs(3);
 /// Smallest buffer that the HTTP library allows.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -104,11 +109,36 @@
 
 /// Accepts connections on `listener` until the handler's close event, or until the process ends.
 pub async fn serve_http(listener: TcpListener, handler: Arc<dyn Handler>, tasks: Tasks) {
+    serve(listener, handler, None, tasks).await;
+}
+
+/// Accepts connections like [`serve_http`], from processes that prove that they have `key`.
+pub async fn serve_peers(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    key: ClusterKey,
+    tasks: Tasks,
+) {
+    serve(listener, handler, Some(key), tasks).await;
+}
+
+async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    key: Option<ClusterKey>,
+    tasks: Tasks,
+) {
     let close_event = handler.close_event();
     let accepting = async {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => tasks.spawn(serve_connection(stream, Arc::clone(&handler))),
+                Ok((stream, _)) => {
+                    let handler = Arc::clone(&handler);
+                    match key.clone() {
+                        Some(key) => tasks.spawn(serve_peer(stream, handler, key)),
+                        None => tasks.spawn(serve_connection(stream, handler)),
+                    }
+                }
                 Err(error) => {
                     event(Level::Warn, "accept_failed", &[("error", &error)]);
                     Timer::after(ACCEPT_BACKOFF.to_duration()).await;
@@ -122,6 +152,19 @@
     }
 }
 
+/// Serves a connection once its other end has proved that it has the key.
+async fn serve_peer(mut stream: TcpStream, handler: Arc<dyn Handler>, key: ClusterKey) {
+    let timeout = async {
+        Timer::after(HANDSHAKE_TIMEOUT.to_duration()).await;
+        Err(LinkError::Timeout)
+    };
+    let authenticated = link::authenticate_client(&mut stream, &key);
+    match authenticated.or(timeout).await {
+        Ok(()) => serve_connection(stream, handler).await,
+        Err(error) => event(Level::Warn, "peer_refused", &[("error", &error)]),
+    }
+}
+
 async fn serve_connection(stream: TcpStream, handler: Arc<dyn Handler>) {
     if let Err(error) = stream.set_nodelay(true) {
         event(Level::Debug, "caller_lost", &[("error", &error)]);
--- a/papayatrayd/src/gateway/settings.rs
+++ b/papayatrayd/src/gateway/settings.rs
@@ -61,6 +61,9 @@
 pub struct EntryRoleSettings {
     /// Address on which callers' requests are accepted.
     pub caller_address: SocketAddr,
+    /// Address on which attempts of other entries are accepted, so that an entry that cannot connect to
+    /// endpoints sends through others; without one, the entry takes no part in this.
+    pub peer_address: Option<SocketAddr>,
     /// Address of the status interface: list of entries, and readiness.
     pub status_address: SocketAddr,
     /// Requests per thousand that are traced in addition to those whose callers sampled them.
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! State of an entry that its tasks share: plan, endpoints, roll-outs, evidence and counters.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -30,6 +31,7 @@
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
+use papayatray_wire::link::ClusterKey;
 use papayatray_wire::peer::Deregistration;
 use papayatray_wire::peer::SyncReply;
 use smol::Timer;
@@ -52,6 +54,7 @@
 use super::fleet::PlacementQuery;
 use super::fleet::Prompt;
 use super::fleet::SelectedEndpoint;
+use super::hop::Hops;
 use super::metrics::GatewayMetrics;
 use super::metrics::GaugeValues;
 use crate::observe::Level;
@@ -133,6 +136,8 @@
     pub traces: Traces,
     /// Requests per thousand that are traced in addition to those whose callers sampled them.
     pub traced_permille: u32,
+    /// Access to the other entries, through which requests get to endpoints that this one does not reach.
+    pub(super) hops: Option<Hops>,
     /// Idle connections to endpoints.
     pub(super) connections: ConnectionPool,
     /// Notified when the control replicas must be synced with at once.
@@ -186,6 +191,7 @@
         Self {
             traces: Traces::new(vm.clone()),
             traced_permille: 0,
+            hops: None,
             vm,
             data_centre,
             caller_address,
@@ -219,6 +225,15 @@
     }
 }
 
+/// # Hops
+impl Gateway {
+    /// Lets this entry send through the other ones, which reach it at `address`.
+    pub fn enable_hops(&mut self, address: SocketAddr, key: ClusterKey) {
+        self.hops = Some(Hops::new(address, key));
+        self.fleet().enable_hops();
+    }
+}
+
 /// # Updates from control replicas
 impl Gateway {
     /// Applies the reply of the control replica at `control` to a sync request sent at `sent_at`.
--- a/papayatrayd/src/gateway/state/entries.rs
+++ b/papayatrayd/src/gateway/state/entries.rs
@@ -32,10 +32,14 @@
             incarnation: self.incarnation,
             data_centre: self.data_centre.clone(),
             caller_address: self.caller_address.clone(),
-            // An entry of the gateway accepts no connections from other processes.
-            peer_address: String::new(),
+            // Empty if the entry carries no attempts of other entries.
+            peer_address: self
+                .hops
+                .as_ref()
+                .map_or_else(String::new, |hops| hops.address.to_string()),
             // An entry that is not ready yet must not be listed to callers either.
             draining: !self.is_ready(),
+            is_cut_off: self.fleet().is_cut_off(),
         }
     }
 
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -35,6 +35,7 @@
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
 use papayatray_core::lease::EntryInfo;
+use papayatray_wire::link::ClusterKey;
 use papayatray_wire::peer::CrashFindings;
 use papayatray_wire::peer::Cursor;
 use papayatray_wire::peer::EndpointUpdates;
@@ -42,8 +43,10 @@
 use papayatrayd::gateway::Bounds;
 use papayatrayd::gateway::Gateway;
 use papayatrayd::gateway::HeaderDialect;
+use papayatrayd::gateway::HopServer;
 use papayatrayd::gateway::Relay;
 use papayatrayd::gateway::serve_http;
+use papayatrayd::gateway::serve_peers;
 use papayatrayd::observe::SystemClock;
 use papayatrayd::tasks::Tasks;
 
@@ -232,7 +235,10 @@
             grace: Millis::from_secs(2),
             hold: Millis::from_secs(1),
         };
-        let gateway = Arc::new(Gateway::new(
+        let peer_listener = smol::block_on(smol::net::TcpListener::bind("127.0.0.1:0")).unwrap();
+        let peer_address = peer_listener.local_addr().unwrap();
+        let key = ClusterKey::new("secret of the deployment under test");
+        let mut gateway = Gateway::new(
             VmId::new(vm).unwrap(),
             DataCentre::new("here").unwrap(),
             address.to_string(),
@@ -240,7 +246,12 @@
             Arc::new(HeaderDialect::default()),
             clock,
             tasks.clone(),
-        ));
+        );
+        gateway.enable_hops(peer_address, key.clone());
+        let gateway = Arc::new(gateway);
+        tasks.spawn(Arc::clone(&gateway).watch_reach());
+        let hop_server = Arc::new(HopServer::new(Arc::clone(&gateway)));
+        tasks.spawn(serve_peers(peer_listener, hop_server, key, tasks.clone()));
         let relay = Arc::new(Relay::new(Arc::clone(&gateway)));
         tasks.spawn(serve_http(listener, relay, tasks.clone()));
         Self { gateway, address }
--- a/papayatrayd/tests/gateway/sync.rs
+++ b/papayatrayd/tests/gateway/sync.rs
@@ -45,6 +45,7 @@
             caller_address: "127.0.0.1:1".to_owned(),
             peer_address: String::new(),
             draining: false,
+            is_cut_off: false,
         },
         versions: GatewayVersions::default(),
         poll_timeout: Millis::ZERO,
