fix(gateway): notice a cut on connections that wait for a response

What callers saw: streams that ran into their deadlines, 10 to 23 s after the endpoint's answer was lost behind a cut. Cause: TCP_USER_TIMEOUT, 2 s, sees only sent bytes that are not acknowledged; a connection that waits for an answer has none.

Change: keep-alive probes after one second, each second, two at most, and a TCP_USER_TIMEOUT of the same three seconds, as it decides on Linux when probes give up. A sound endpoint may be silent for a second or so; 2 s left no time for a probe after that. The same on connections between entries. The test reads the timer of a waiting connection; it found none before.

--- a/papayatrayd/src/gateway/connection_pool.rs
+++ b/papayatrayd/src/gateway/connection_pool.rs
@@ -32,14 +32,13 @@
 use super::hop::HopGuard;
 use super::limited_stream::HeadLimit;
 use super::limited_stream::LimitedStream;
+use crate::liveness::limit_silence;
 use crate::observe::Level;
 use crate::observe::event;
 use crate::tasks::Tasks;
 
 /// Time to establish a connection; several round trips between data centres.
 const CONNECT_TIMEOUT: Millis = Millis::new(400);
-/// Time after which a connection ends if sent bytes are not acknowledged.
-const UNACKNOWLEDGED_TIMEOUT: Millis = Millis::new(2_000);
 /// Maximum idle time of a connection that is reused.
 const MAX_IDLE_TIME: Millis = Millis::new(2_500);
 /// Divisor of the keep-alive time that an endpoint announces: a connection is reused only for that
@@ -279,7 +278,7 @@
     ) -> Result<EndpointConnection, ExchangeError> {
         let not_sent = |error: std::io::Error| ExchangeError::NotSent(error.to_string());
         stream.set_nodelay(true).map_err(not_sent)?;
-        set_unacknowledged_timeout(&stream).map_err(not_sent)?;
+        limit_silence(&stream).map_err(not_sent)?;
         let head_limit = HeadLimit::default();
         let builder = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
@@ -364,13 +363,6 @@
     }
 }
 
-/// Sets `TCP_USER_TIMEOUT`, which detects connections that were cut without a reset.
-fn set_unacknowledged_timeout(stream: &TcpStream) -> std::io::Result<()> {
-    let timeout_ms = u32::try_from(UNACKNOWLEDGED_TIMEOUT.as_u64()).unwrap_or(u32::MAX);
-    rustix::net::sockopt::set_tcp_user_timeout(stream, timeout_ms)?;
-    Ok(())
-}
-
 /// Returns the idle time that the `Keep-Alive` header announces, if it does.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Millis> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/papayatrayd/src/gateway/server.rs
+++ b/papayatrayd/src/gateway/server.rs
@@ -32,6 +32,7 @@
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
+use crate::liveness::limit_silence;
 use crate::observe::Level;
 use crate::observe::event;
 use crate::tasks::Tasks;
@@ -158,8 +159,11 @@
         Timer::after(HANDSHAKE_TIMEOUT.to_duration()).await;
         Err(LinkError::Timeout)
     };
-    let authenticated = link::authenticate_client(&mut stream, &key);
-    match authenticated.or(timeout).await {
+    let authenticating = async {
+        limit_silence(&stream)?;
+        link::authenticate_client(&mut stream, &key).await
+    };
+    match authenticating.or(timeout).await {
         Ok(()) => serve_connection(stream, handler).await,
         Err(error) => event(Level::Warn, "peer_refused", &[("error", &error)]),
     }
--- a/papayatrayd/src/lib.rs
+++ b/papayatrayd/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod gateway;
 pub mod http;
+pub mod liveness;
 pub mod observe;
 pub mod peer;
 pub mod settings;
--- a/papayatrayd/tests/gateway/main.rs
+++ b/papayatrayd/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod headers;
 mod leaving;
+mod liveness;
 mod pauses;
 mod rate_limits;
 mod reach;
