fix(gateway): probes that began during a cut start no new one after its end

What operators saw: reach_changed restored, cut_off and restored within 0.3 s at each end of a cut. Cause: connections that were started during the cut time out after it, and counted as failures in a row. Change: a connection counts from when it was started, so one older than the last that was opened is no part of a row, and a failed probe of an endpoint behind the cut does not eject it. A probe that succeeds goes on with the next endpoint.

--- a/papayatray_core/src/gateway/reach.rs
+++ b/papayatray_core/src/gateway/reach.rs
@@ -72,6 +72,8 @@
     /// entry since.
     unreachable: BTreeMap<EndpointId, bool>,
     cut: Option<Cut>,
+    /// Time at which a connection was last opened.
+    opened_at: Millis,
     refuted_until: Millis,
 }
 
@@ -91,8 +93,10 @@
         service: &ServiceId,
         id: &EndpointId,
         count: usize,
+        now: Millis,
     ) -> Option<ReachChange> {
         let reach = self.service(service);
+        reach.opened_at = now;
         reach.unreachable.remove(id);
         reach.failed.clear();
         reach.opened.insert(id.clone());
@@ -106,20 +110,25 @@
         Some(ReachChange::Restored)
     }
 
-    /// Records that no connection to an endpoint could be opened.
+    /// Records that no connection to an endpoint could be opened, from `started_at` until now.
     ///
-    /// `count` is the number of the service's endpoints that accept requests.
+    /// One that was started before another was opened does not count towards a row, since the cut may
+    /// have ended meanwhile. `count` is the number of the service's endpoints that accept requests.
     pub fn record_failed(
         &mut self,
         service: &ServiceId,
         id: &EndpointId,
         count: usize,
+        started_at: Millis,
         now: Millis,
     ) -> Option<ReachChange> {
         let reach = self.service(service);
+        reach.unreachable.entry(id.clone()).or_default();
+        if started_at < reach.opened_at {
+            return None;
+        }
         reach.opened.clear();
         reach.failed.insert(id.clone());
-        reach.unreachable.entry(id.clone()).or_default();
         if let Some(cut) = &mut reach.cut {
             cut.reached.remove(id);
             return None;
--- a/papayatrayd/src/gateway/exchange.rs
+++ b/papayatrayd/src/gateway/exchange.rs
@@ -57,11 +57,6 @@
                 other => return other,
             }
         }
-        let opened = self.connections.open(endpoint).await;
-        match &opened {
-            Ok(_) => self.record_opened(endpoint),
-            Err(error) => self.record_unreachable(endpoint, error),
-        }
-        send_request(opened?, outgoing).await
+        send_request(self.connect(endpoint).await?, outgoing).await
     }
 }
--- a/papayatrayd/src/gateway/fleet/reach.rs
+++ b/papayatrayd/src/gateway/fleet/reach.rs
@@ -16,25 +16,31 @@
     pub(in crate::gateway) fn record_opened(
         &mut self,
         selected: &SelectedEndpoint,
+        now: Millis,
     ) -> Option<ReachChange> {
         let count = self.count_accepting(&selected.service);
         self.reach
-            .record_opened(&selected.service, &selected.id, count)
+            .record_opened(&selected.service, &selected.id, count, now)
     }
 
-    /// Records that no connection to an endpoint could be opened.
+    /// Records that no connection to an endpoint could be opened, from `started_at` until now.
     ///
-    /// The endpoint is ejected, unless requests can get to it through other entries. Once this entry
-    /// takes itself for cut off from the service, the endpoints that it ejected so are readmitted.
+    /// The endpoint is ejected, unless requests got to it through other entries before (`path`) or do so
+    /// from now on. Once this entry takes itself for cut off from the service, the endpoints that it
+    /// ejected so are readmitted.
     pub(in crate::gateway) fn record_unreachable(
         &mut self,
         selected: &SelectedEndpoint,
+        path: Path,
+        started_at: Millis,
         now: Millis,
     ) -> Option<ReachChange> {
         let (service, id) = (&selected.service, &selected.id);
         let count = self.count_accepting(service);
-        let change = self.reach.record_failed(service, id, count, now);
-        if self.path(selected) == Path::Direct {
+        let change = self
+            .reach
+            .record_failed(service, id, count, started_at, now);
+        if path == Path::Direct && self.path(selected) == Path::Direct {
             self.health(service).record_unreachable(id, now);
         }
         if change == Some(ReachChange::CutOff) && self.has_hops {
--- a/papayatrayd/src/gateway/state/reach.rs
+++ b/papayatrayd/src/gateway/state/reach.rs
@@ -9,6 +9,7 @@
 use smol::Timer;
 
 use super::Gateway;
+use crate::gateway::connection_pool::EndpointConnection;
 use crate::gateway::connection_pool::ExchangeError;
 use crate::gateway::fleet::SelectedEndpoint;
 use crate::observe::Level;
@@ -17,33 +18,60 @@
 /// Interval of the probes that find out whether an entry reaches endpoints again: service returns to
 /// direct connections within a second of the end of a cut.
 const REACH_INTERVAL: Millis = Millis::new(250);
-/// Endpoints to which connections are opened at once to find out whether a cut is over: enough to meet
-/// two in a row soon after its end, and few while it lasts.
+/// Endpoints that are probed at the same time: enough to meet two in a row soon after the end of a cut, and
+/// few while it lasts.
 const MAX_PROBES: usize = 3;
 
 /// # Reach
 impl Gateway {
     /// Records that a connection to an endpoint was opened.
-    pub(in crate::gateway) fn record_opened(&self, endpoint: &SelectedEndpoint) {
-        let change = self.fleet().record_opened(endpoint);
+    fn record_opened(&self, endpoint: &SelectedEndpoint) {
+        let change = self.fleet().record_opened(endpoint, self.clock.now());
         self.log_reach(endpoint, change);
     }
 
+    /// Opens a connection to an endpoint, and records whether that succeeded.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::Unreachable`] if the connection is refused or not established in time,
+    /// and [`ExchangeError::NotSent`] if it cannot be used.
+    pub(in crate::gateway) async fn connect(
+        &self,
+        endpoint: &SelectedEndpoint,
+    ) -> Result<EndpointConnection, ExchangeError> {
+        let started_at = self.clock.now();
+        let path = self.fleet().path(endpoint);
+        let opened = self.connections.open(endpoint).await;
+        match &opened {
+            Ok(_) => self.record_opened(endpoint),
+            Err(error) => self.record_unreachable(endpoint, error, path, started_at),
+        }
+        opened
+    }
+
     /// Records that no connection to an endpoint could be opened, and closes the pooled ones.
-    pub(in crate::gateway) fn record_unreachable(
+    fn record_unreachable(
         &self,
         endpoint: &SelectedEndpoint,
         error: &ExchangeError,
+        path: Path,
+        started_at: Millis,
     ) {
         self.connections.close_idle(&endpoint.id);
         self.metrics.count_event("endpoint_unreachable");
-        let is_known = self.fleet().path(endpoint) == Path::Indirect;
+        let level = match path {
+            Path::Direct => Level::Info,
+            Path::Indirect => Level::Debug,
+        };
         event(
-            if is_known { Level::Debug } else { Level::Info },
+            level,
             "endpoint_unreachable",
             &[("endpoint", &endpoint.id), ("error", error)],
         );
-        let change = self.fleet().record_unreachable(endpoint, self.clock.now());
+        let change = self
+            .fleet()
+            .record_unreachable(endpoint, path, started_at, self.clock.now());
         self.log_reach(endpoint, change);
     }
 
@@ -69,25 +97,38 @@
         }
     }
 
-    /// Opens connections to some of the endpoints that requests get to only through other entries.
+    /// Opens connections to some of the endpoints that requests get to only through other entries; where
+    /// one is opened, goes on with the next endpoint.
     fn probe_reach(self: &Arc<Self>) {
-        let mut endpoints = self.fleet().indirect_endpoints();
-        for _ in 0..MAX_PROBES.min(endpoints.len()) {
-            let endpoint = endpoints.swap_remove(rand::random_range(0..endpoints.len()));
+        for _ in 0..MAX_PROBES {
+            let Some(first) = self.random_indirect() else {
+                return;
+            };
             let gateway = Arc::clone(self);
             self.tasks.spawn(async move {
-                match gateway.connections.open(&endpoint).await {
-                    Ok(connection) => {
-                        gateway.record_opened(&endpoint);
-                        let now = gateway.clock.now();
-                        gateway.connections.put(connection, &HeaderMap::new(), now);
-                    }
-                    Err(error) => gateway.record_unreachable(&endpoint, &error),
+                let mut next = Some(first);
+                while let Some(endpoint) = next {
+                    let Ok(connection) = gateway.connect(&endpoint).await else {
+                        // The failure has been recorded.
+                        return;
+                    };
+                    let now = gateway.clock.now();
+                    gateway.connections.put(connection, &HeaderMap::new(), now);
+                    next = gateway.random_indirect();
                 }
             });
         }
     }
 
+    /// Returns one of the endpoints that requests get to only through other entries.
+    fn random_indirect(&self) -> Option<SelectedEndpoint> {
+        let mut endpoints = self.fleet().indirect_endpoints();
+        if endpoints.is_empty() {
+            return None;
+        }
+        Some(endpoints.swap_remove(rand::random_range(0..endpoints.len())))
+    }
+
     fn log_reach(&self, endpoint: &SelectedEndpoint, change: Option<ReachChange>) {
         let Some(change) = change else {
             return;
