fix(gateway): open a new connection for the attempt after a lost one

What callers saw: streams cut in the middle, and 502, at the moment of a cut that closes connections. Cause: the attempts that followed took further pooled connections, which the cut had closed as well; each counts as a possible run, and three end the request. A new connection is refused, which proves that nothing ran, and leads through another entry. The new test got 502 before.

A stream that could not be resumed was logged as left by its caller; it is logged as broken.

--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -50,6 +50,8 @@
     pub(super) excluded: Vec<EndpointId>,
     /// Endpoints of `excluded` to which this entry could not connect.
     unreachable: Vec<EndpointId>,
+    /// Whether a connection was lost during an attempt; others in the pool may have been lost with it.
+    has_lost_connection: bool,
     /// Whether a connection to an endpoint was not established in time, so that the next attempts are
     /// sent through other entries rather than waiting for another connection.
     prefers_hop: bool,
@@ -78,6 +80,7 @@
             request,
             excluded: Vec::new(),
             unreachable: Vec::new(),
+            has_lost_connection: false,
             prefers_hop: false,
             size_index: papayatray_core::gateway::sizing::first_size(),
             possible_runs: 0,
@@ -373,7 +376,8 @@
             headers,
             body: self.request.body.clone(),
             remaining,
-            needs_new_connection: !self.request.route.kind.is_repeatable(),
+            needs_new_connection: !self.request.route.kind.is_repeatable()
+                || self.has_lost_connection,
         }
     }
 
@@ -425,6 +429,7 @@
     /// Returns a refusal if the request must not be retried.
     fn record_failed_run(&mut self, attempt: &InFlightAttempt) -> Result<(), Refusal> {
         self.possible_runs += 1;
+        self.has_lost_connection = true;
         self.excluded.push(attempt.endpoint.id.clone());
         if self.can_retry() {
             Ok(())
@@ -437,6 +442,7 @@
 
     /// Records that a started response was cut off; returns whether the request may be retried.
     pub(super) fn record_broken_response(&mut self, attempt: &InFlightAttempt) -> bool {
+        self.has_lost_connection = true;
         attempt.record_failure();
         self.gateway.detect_crash(attempt.lost(&self.request));
         self.excluded.push(attempt.endpoint.id.clone());
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -227,7 +227,10 @@
                 return Ok(Some(self.forward(event)));
             }
             let Some(mut stream) = self.stream.take() else {
-                self.resume().await?;
+                if let Err(error) = self.resume().await {
+                    self.outcome = "broken";
+                    return Err(error);
+                }
                 continue;
             };
             match stream.next(&self.attempts).await {
--- a/papayatrayd/tests/gateway/endpoint.rs
+++ b/papayatrayd/tests/gateway/endpoint.rs
@@ -73,6 +73,8 @@
     pub head: String,
     /// Body.
     pub body: Vec<u8>,
+    /// Requests that arrived before on the same connection.
+    pub predecessors: usize,
 }
 
 impl ReceivedRequest {
@@ -129,7 +131,13 @@
     }
 
     fn serve(&self, mut stream: TcpStream, script: &Script) {
+        let mut predecessors = 0;
         while let Some(request) = read_request(&mut stream) {
+            let request = ReceivedRequest {
+                predecessors,
+                ..request
+            };
+            predecessors += 1;
             let number = {
                 let mut all = self.requests.lock().unwrap();
                 all.push(request.clone());
@@ -168,6 +176,7 @@
     let request = ReceivedRequest {
         head,
         body: Vec::new(),
+        predecessors: 0,
     };
     let length = request
         .header("content-length")
--- a/papayatrayd/tests/gateway/reach.rs
+++ b/papayatrayd/tests/gateway/reach.rs
@@ -345,3 +345,28 @@
     assert!(!String::from_utf8_lossy(&answer).contains("HTTP"));
     assert_eq!(fake.requests().len(), 0);
 }
+
+#[test]
+fn attempt_after_a_lost_connection_uses_a_new_one() {
+    let endpoints: Vec<_> = (0..ENDPOINTS)
+        .map(|_| {
+            FakeEndpoint::start(|_, request| {
+                if request.predecessors > 0 {
+                    return vec![Step::Close];
+                }
+                vec![
+                    Step::Wait(Duration::from_millis(100)),
+                    Step::Send(response(request, "200 OK", "ok")),
+                ]
+            })
+        })
+        .collect();
+    let rig = entry("vm-1", &endpoints.iter().collect::<Vec<_>>());
+    // Concurrent requests leave idle connections to all endpoints.
+    thread::scope(|scope| {
+        for _ in 0..24 {
+            scope.spawn(|| assert_eq!(rig.request("/safe/", "").status, 200));
+        }
+    });
+    assert_eq!(rig.request("/safe/", "").status, 200);
+}
