fix(gateway): record a crash only if another entry does not reach the endpoint either

What callers saw: a sound request refused as quarantined, 502, during a cut. Cause: an endpoint counts as crashed if it refuses connections after it lost a request; to an entry that is cut off, all do.

Change: the entry asks another one whether it can connect. Without an answer the refusal decides, as before. For an attempt that another entry carried, only that answer counts. The new test got 502 before, and a suspect.

--- a/papayatrayd/src/gateway/connection_pool.rs
+++ b/papayatrayd/src/gateway/connection_pool.rs
@@ -109,7 +109,7 @@
 }
 
 /// HTTP request to an endpoint.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct OutgoingRequest {
     /// Id of the request, for the log.
     pub id: String,
--- a/papayatrayd/src/gateway/hop/client.rs
+++ b/papayatrayd/src/gateway/hop/client.rs
@@ -6,11 +6,14 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use papayatray_core::clock::Millis;
 use papayatray_core::gateway::hops::HopCandidate;
 use papayatray_core::gateway::hops::HopTable;
 use papayatray_core::id::VmId;
 use papayatray_core::lease::EntryInfo;
 use papayatray_wire::link::ClusterKey;
+use smol::Timer;
+use smol::future::FutureExt;
 
 use super::header;
 use super::header::HopFailure;
@@ -24,6 +27,8 @@
 use crate::gateway::state::Gateway;
 use crate::observe::request_event;
 
+/// Time for another entry to say whether it can connect to an endpoint.
+const PROBE_TIMEOUT: Millis = Millis::new(1_000);
 /// Entries that are asked in turn to carry one attempt.
 const MAX_ENTRIES: usize = 3;
 
@@ -110,6 +115,37 @@
         None
     }
 
+    /// Asks another entry whether it can connect to an endpoint; returns `None` if no entry says so in
+    /// time.
+    pub(in crate::gateway) async fn is_reached_elsewhere(
+        &self,
+        endpoint: &SelectedEndpoint,
+    ) -> Option<bool> {
+        let hops = self.hops.as_ref()?;
+        let entries = self.entries();
+        let entry = self.pick_hop(hops, entries.values(), endpoint)?;
+        let target = HopTarget {
+            endpoint: endpoint.id.clone(),
+            incarnation: endpoint.incarnation,
+            remaining: PROBE_TIMEOUT,
+            needs_new_connection: false,
+            is_probe: true,
+        };
+        let mut probe = OutgoingRequest::default();
+        target.add_to(&mut probe.headers);
+        let asking = async { Some(self.send_to_entry(hops, entry, &probe).await) };
+        let timeout = async {
+            Timer::after(PROBE_TIMEOUT.to_duration()).await;
+            None
+        };
+        let answered = asking.or(timeout).await?.ok()?;
+        match HopFailure::of(answered.response.headers()) {
+            None => Some(true),
+            Some(HopFailure::Unreachable) => Some(false),
+            Some(_) => None,
+        }
+    }
+
     fn pick_hop<'a, I>(
         &self,
         hops: &Hops,
@@ -151,6 +187,7 @@
             incarnation: endpoint.incarnation,
             remaining: outgoing.remaining,
             needs_new_connection: outgoing.needs_new_connection,
+            is_probe: false,
         };
         let mut carried = outgoing.clone();
         header::remove_all(&mut carried.headers);
--- a/papayatrayd/src/gateway/hop/header.rs
+++ b/papayatrayd/src/gateway/hop/header.rs
@@ -12,6 +12,7 @@
 const INCARNATION: HeaderName = HeaderName::from_static("papayatray-hop-incarnation");
 const REMAINING: HeaderName = HeaderName::from_static("papayatray-hop-remaining-ms");
 const NEW_CONNECTION: HeaderName = HeaderName::from_static("papayatray-hop-new-connection");
+const PROBE: HeaderName = HeaderName::from_static("papayatray-hop-probe");
 const FAILURE: HeaderName = HeaderName::from_static("papayatray-hop-failure");
 
 /// Where to carry an attempt, and on which conditions.
@@ -24,6 +25,8 @@
     pub(super) remaining: Millis,
     /// Whether the endpoint must get the request over a new connection.
     pub(super) needs_new_connection: bool,
+    /// Whether the entry only has to tell whether it can connect to the endpoint.
+    pub(super) is_probe: bool,
 }
 
 /// The headers of a hop are missing or cannot be read.
@@ -84,6 +87,9 @@
         if self.needs_new_connection {
             headers.insert(NEW_CONNECTION, HeaderValue::from_static("1"));
         }
+        if self.is_probe {
+            headers.insert(PROBE, HeaderValue::from_static("1"));
+        }
     }
 }
 
@@ -105,13 +111,21 @@
             incarnation: Incarnation(number(INCARNATION)?),
             remaining: Millis::new(number(REMAINING)?),
             needs_new_connection: headers.contains_key(NEW_CONNECTION),
+            is_probe: headers.contains_key(PROBE),
         })
     }
 }
 
 /// Removes the headers of a hop, which concern only the two entries.
 pub(super) fn remove_all(headers: &mut HeaderMap) {
-    for name in [ENDPOINT, INCARNATION, REMAINING, NEW_CONNECTION, FAILURE] {
+    for name in [
+        ENDPOINT,
+        INCARNATION,
+        REMAINING,
+        NEW_CONNECTION,
+        PROBE,
+        FAILURE,
+    ] {
         headers.remove(name);
     }
 }
--- a/papayatrayd/src/gateway/hop/server.rs
+++ b/papayatrayd/src/gateway/hop/server.rs
@@ -90,6 +90,9 @@
         let (mut head, body) = request.into_parts();
         let target = HopTarget::try_from(&head.headers);
         let target = target.map_err(|_invalid| HopFailure::Declined)?;
+        if target.is_probe {
+            return self.probe(&target).await;
+        }
         header::remove_all(&mut head.headers);
         let metadata = self.gateway.dialect.request_metadata(&head);
         let id = metadata.map_err(|_invalid| HopFailure::Declined)?.id;
@@ -140,6 +143,16 @@
         endpoint.ok_or(HopFailure::Declined)
     }
 
+    /// Returns an empty response if this entry can connect to the endpoint.
+    async fn probe(&self, target: &HopTarget) -> Result<Response<HandlerBody>, HopFailure> {
+        let endpoint = self.find_endpoint(target)?;
+        match self.gateway.connect(&endpoint).await {
+            Ok(_closed_again) => Ok(full_response(StatusCode::OK, "text/plain", "")),
+            Err(ExchangeError::Unreachable(_)) => Err(HopFailure::Unreachable),
+            Err(_) => Err(HopFailure::Declined),
+        }
+    }
+
     async fn exchange(
         &self,
         endpoint: &SelectedEndpoint,
--- a/papayatrayd/src/gateway/state/crashes.rs
+++ b/papayatrayd/src/gateway/state/crashes.rs
@@ -13,6 +13,7 @@
 use papayatray_core::gateway::crashes::FindingChanges;
 use papayatray_core::gateway::crashes::LostRequest;
 use papayatray_core::gateway::crashes::causes;
+use papayatray_core::gateway::reach::Path;
 use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::gateway::updates::UpdateLog;
 use papayatray_core::id::Fingerprint;
@@ -312,7 +313,7 @@
     pub(in crate::gateway) fn detect_crash(self: &Arc<Self>, lost: LostAttempt) {
         let gateway = Arc::clone(self);
         self.tasks.spawn(async move {
-            if !connection_pool::is_connection_refused(lost.endpoint.address).await {
+            if !gateway.has_crashed(&lost.endpoint).await {
                 return;
             }
             lost.log_crash();
@@ -330,6 +331,23 @@
     }
 }
 
+impl Gateway {
+    /// Returns whether an endpoint refuses connections, of another entry too: those of this entry may be
+    /// refused because its links are cut.
+    async fn has_crashed(&self, endpoint: &SelectedEndpoint) -> bool {
+        let path = self.fleet().path(endpoint);
+        if path == Path::Direct && !connection_pool::is_connection_refused(endpoint.address).await {
+            return false;
+        }
+        match (path, self.is_reached_elsewhere(endpoint).await) {
+            (_, Some(is_reached)) => !is_reached,
+            // Without another entry's word, the refusal decides.
+            (Path::Direct, None) => true,
+            (Path::Indirect, None) => false,
+        }
+    }
+}
+
 /// Logs what `evaluated_by`, an entry or a control replica, quarantines and releases.
 pub(in crate::gateway) fn log_changes(changes: &FindingChanges, evaluated_by: &str) {
     for (cause, crashes) in &changes.quarantined {
--- a/papayatrayd/tests/gateway/endpoint.rs
+++ b/papayatrayd/tests/gateway/endpoint.rs
@@ -8,9 +8,13 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use papayatray_standin::free_address;
+
 /// Time after which a connection counts as not established, far longer than one takes on loopback.
 const FULL_QUEUE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -34,14 +38,15 @@
 impl DeadAddress {
     /// Returns an address to which connections fail in this way.
     pub fn new(failure: Failure) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
         if failure == Failure::Refused {
             return Self {
-                address,
+                // The system gives this port to no other listener.
+                address: free_address().unwrap(),
                 _listener: None,
             };
         }
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
         rustix::net::listen(&listener, 0).unwrap();
         let mut queued = Vec::new();
         // The system drops the packets that open a connection once the queue is full.
@@ -55,6 +60,73 @@
     }
 }
 
+/// Way from one entry to an endpoint, which can be cut.
+pub struct Proxy {
+    /// Address to which the entry connects.
+    pub address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+    is_closed: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Proxy {
+    /// Starts a proxy to an address.
+    pub fn start(target: SocketAddr) -> Self {
+        // The system gives this port to no other listener after the cut.
+        let listener = TcpListener::bind(free_address().unwrap()).unwrap();
+        let proxy = Self {
+            address: listener.local_addr().unwrap(),
+            is_cut: Arc::default(),
+            is_closed: Arc::default(),
+            connections: Arc::default(),
+        };
+        let (is_cut, is_closed) = (Arc::clone(&proxy.is_cut), Arc::clone(&proxy.is_closed));
+        let connections = Arc::clone(&proxy.connections);
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                if is_cut.load(Ordering::SeqCst) {
+                    break;
+                }
+                let far = TcpStream::connect(target).unwrap();
+                let both = [near.try_clone().unwrap(), far.try_clone().unwrap()];
+                connections.lock().unwrap().extend(both);
+                copy_bytes(near.try_clone().unwrap(), far.try_clone().unwrap());
+                copy_bytes(far, near);
+            }
+            drop(listener);
+            is_closed.store(true, Ordering::SeqCst);
+        });
+        proxy
+    }
+
+    /// Refuses new connections.
+    pub fn refuse(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+        // Wakes the listener's thread, which closes the listener.
+        let _woken = TcpStream::connect(self.address);
+        while !self.is_closed.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Closes the connections that are open.
+    pub fn close(&self) {
+        for connection in self.connections.lock().unwrap().drain(..) {
+            // The other end may have closed it.
+            let _closed = connection.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Copies bytes from one connection to another until one of them ends.
+fn copy_bytes(mut from: TcpStream, mut to: TcpStream) {
+    thread::spawn(move || {
+        // A connection that breaks ends both.
+        let _copied = std::io::copy(&mut from, &mut to);
+        let _closed = to.shutdown(Shutdown::Both);
+    });
+}
+
 /// Step of a scripted response.
 #[derive(Clone, Debug)]
 pub enum Step {
--- a/papayatrayd/tests/gateway/reach.rs
+++ b/papayatrayd/tests/gateway/reach.rs
@@ -13,6 +13,7 @@
 use crate::endpoint::DeadAddress;
 use crate::endpoint::Failure;
 use crate::endpoint::FakeEndpoint;
+use crate::endpoint::Proxy;
 use crate::endpoint::Step;
 use crate::endpoint::end;
 use crate::endpoint::event;
@@ -346,6 +347,70 @@
     assert_eq!(fake.requests().len(), 0);
 }
 
+/// Entry that reaches endpoints through proxies, and another one that reaches them directly.
+struct ProxiedPlay {
+    proxies: Vec<Proxy>,
+    cut_off: Rig,
+    _other: Rig,
+}
+
+impl ProxiedPlay {
+    fn start(endpoints: &[FakeEndpoint]) -> Self {
+        let proxies: Vec<_> = endpoints.iter().map(|e| Proxy::start(e.address)).collect();
+        let known: Vec<_> = endpoints.iter().collect();
+        let (cut_off, other) = (entry("vm-1", &[]), entry("vm-2", &known));
+        let announcements = endpoints.iter().enumerate();
+        let announcements = announcements.map(|(number, fake)| Endpoint {
+            address: proxies[number].address.to_string(),
+            ..announcement(number, fake)
+        });
+        cut_off.apply_announcements(plan(), announcements.collect());
+        cut_off.apply_peers(&[&other]);
+        Self {
+            proxies,
+            cut_off,
+            _other: other,
+        }
+    }
+
+    /// Cuts the entry off from all endpoints, and closes its connections.
+    fn cut(&self) {
+        for proxy in &self.proxies {
+            proxy.refuse();
+        }
+        for proxy in &self.proxies {
+            proxy.close();
+        }
+    }
+}
+
+#[test]
+fn connections_that_a_cut_closes_are_no_crash_of_endpoints() {
+    let endpoints: Vec<_> = (0..ENDPOINTS)
+        .map(|_| {
+            FakeEndpoint::start(|_, request| {
+                vec![
+                    Step::Wait(Duration::from_millis(400)),
+                    Step::Send(response(request, "200 OK", "ok")),
+                ]
+            })
+        })
+        .collect();
+    let play = ProxiedPlay::start(&endpoints);
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..12)
+            .map(|_| scope.spawn(|| play.cut_off.request("/safe/", "").status))
+            .collect();
+        let arrivals = || endpoints.iter().map(|e| e.requests().len()).sum::<usize>();
+        wait("the requests arrive", || arrivals() >= 12);
+        play.cut();
+        for caller in callers {
+            assert_eq!(caller.join().unwrap(), 200);
+        }
+    });
+    assert_eq!(play.cut_off.suspect_count(), 0);
+}
+
 #[test]
 fn attempt_after_a_lost_connection_uses_a_new_one() {
     let endpoints: Vec<_> = (0..ENDPOINTS)
