fix(gateway): lead callers past entries that are cut off from all endpoints

Callers of an entry that is cut off need a second hop for each request, and that entry keeps its share of the callers. Entries tell the others, through the control replicas, once answers through another entry have confirmed that they reach no endpoint; the address list leaves them out while at least half of all entries remain. Readiness stays as it was: the entry serves whoever comes. Both tests fail without it (all entries were listed).

--- a/papayatray_core/src/gateway/entry_register.rs
+++ b/papayatray_core/src/gateway/entry_register.rs
@@ -118,6 +118,15 @@
     }
 }
 
+/// Leaves out the entries that are cut off from endpoints, if at least half of all remain: callers of the
+/// others need no second hop, and the others must not be overrun.
+pub fn leave_out_cut_off(entries: &mut BTreeMap<VmId, EntryInfo>) {
+    let sound = entries.values().filter(|info| !info.is_cut_off).count();
+    if sound * 2 >= entries.len() {
+        entries.retain(|_, info| !info.is_cut_off);
+    }
+}
+
 /// List of entries as its receiver keeps it.
 #[derive(Clone, Debug, Default)]
 pub struct EntryList {
--- a/papayatray_core/tests/core/gateway_entries.rs
+++ b/papayatray_core/tests/core/gateway_entries.rs
@@ -3,6 +3,7 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::entry_register::EntryList;
 use papayatray_core::gateway::entry_register::EntryRegister;
+use papayatray_core::gateway::entry_register::leave_out_cut_off;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::VmId;
@@ -93,3 +94,23 @@
         );
     }
 }
+
+/// Returns how many of seven entries are listed to callers if some are cut off.
+fn listed_of_seven(cut_off: usize) -> usize {
+    let infos = (0..7).map(|number| EntryInfo {
+        is_cut_off: number < cut_off,
+        ..info(number, 1, false)
+    });
+    let mut entries = infos.map(|info| (info.vm.clone(), info)).collect();
+    leave_out_cut_off(&mut entries);
+    entries.len()
+}
+
+#[test]
+fn callers_are_led_past_entries_that_are_cut_off_while_enough_others_remain() {
+    assert_eq!(listed_of_seven(0), 7);
+    assert_eq!(listed_of_seven(1), 6);
+    assert_eq!(listed_of_seven(3), 4);
+    assert_eq!(listed_of_seven(4), 7);
+    assert_eq!(listed_of_seven(7), 7);
+}
--- a/papayatrayd/src/gateway/api.rs
+++ b/papayatrayd/src/gateway/api.rs
@@ -176,7 +176,7 @@
     fn respond(&self, path: &str) -> Response<HandlerBody> {
         match path {
             "/v1/entries" => {
-                let entries = self.gateway.entries();
+                let entries = self.gateway.caller_entries();
                 let addresses = entries.values().map(|info| &info.caller_address);
                 let addresses: Vec<&String> = addresses.collect();
                 let hold = self.gateway.bounds.hold.as_u64();
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -356,7 +356,7 @@
             plan,
             evidence_age: age,
             endpoints,
-            entries: self.entries().len(),
+            entries: self.caller_entries().len(),
             suspects: self.suspect_count(),
             unreachable: self.fleet().unreachable_count(),
             is_leader: false,
--- a/papayatrayd/src/gateway/state/entries.rs
+++ b/papayatrayd/src/gateway/state/entries.rs
@@ -6,6 +6,7 @@
 
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::entry_register::EntryUpdates;
+use papayatray_core::gateway::entry_register::leave_out_cut_off;
 use papayatray_core::id::VmId;
 use papayatray_core::lease::EntryInfo;
 
@@ -81,7 +82,14 @@
             .map_or(0, |received| received.list.number())
     }
 
-    /// Returns the entries that callers may use, by VM.
+    /// Returns the entries to which callers are led, by VM.
+    pub fn caller_entries(&self) -> BTreeMap<VmId, EntryInfo> {
+        let mut entries = self.entries();
+        leave_out_cut_off(&mut entries);
+        entries
+    }
+
+    /// Returns the entries that serve requests, by VM.
     ///
     /// The leader's list is used, as all entries that can prove their plan sync with it most often;
     /// without one, the lists of the other replicas. While no control replica can be reached, the
--- a/papayatrayd/tests/gateway/reach.rs
+++ b/papayatrayd/tests/gateway/reach.rs
@@ -194,6 +194,27 @@
     }
 }
 
+#[test]
+fn callers_are_led_past_an_entry_that_is_cut_off() {
+    let play = Play::start(Failure::Refused, 1);
+    let other = &play.others[0];
+    other.apply_peers(&[&play.cut_off]);
+    assert_eq!(other.gateway.caller_entries().len(), 2);
+    for _ in 0..4 {
+        assert_eq!(play.cut_off.request("/safe/", "").status, 200);
+    }
+    wait("the cut is confirmed", || {
+        play.cut_off.gateway.info().is_cut_off
+    });
+    other.apply_peers(&[&play.cut_off]);
+    let listed = other.gateway.caller_entries();
+    assert_eq!(
+        listed.keys().collect::<Vec<_>>(),
+        [&other.gateway.vm],
+        "{listed:?}"
+    );
+}
+
 #[test]
 fn endpoints_that_are_down_for_all_entries_are_no_cut() {
     let dead: Vec<_> = (0..ENDPOINTS)
