feat(control): log what a replica that does not take part yet is waiting for

Now one line at the start, at each change, and each second until the replica takes part: stage, id, last position, members (learners marked), who has confirmed, blank replicas heard of.

--- a/papayatray_state/src/replica/boot.rs
+++ b/papayatray_state/src/replica/boot.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Returns the replicas that have confirmed that this one's data folder was not rolled back.
+    pub fn confirmed_by(&self) -> impl Iterator<Item = &ReplicaId> {
+        self.confirmed_by.iter()
+    }
+
     /// Returns the blank replicas that have announced themselves, including those long silent.
     pub fn blanks(&self) -> impl Iterator<Item = &ReplicaId> {
         self.blanks.keys()
--- a/papayatrayd/src/control/control_loop.rs
+++ b/papayatrayd/src/control/control_loop.rs
@@ -39,6 +39,8 @@
 const MAX_TURN_INPUTS: usize = 512;
 /// Back-off between two attempts to reopen the data folder.
 const REOPEN_BACKOFF: Millis = Millis::new(500);
+/// Interval at which a replica that waits to take part says so.
+const BOOT_LOG_INTERVAL: Millis = Millis::from_secs(1);
 
 /// Lease renewal whose reply is delayed until there is something new, or until the poll times out.
 #[derive(Debug)]
@@ -61,8 +63,10 @@
     last_proposal: ProposalId,
     /// Role when it was last logged.
     role: Role,
-    /// Boot stage when it was last logged.
+    /// Boot stage when it was last logged; empty before the first time.
     boot_stage: &'static str,
+    /// Time at which the boot stage was last logged.
+    boot_logged_at: Millis,
     opener: ReplicaOpener,
     observer: Option<Box<dyn TurnObserver>>,
     last_reopened_at: Millis,
@@ -78,7 +82,8 @@
         observer: Option<Box<dyn TurnObserver>>,
     ) -> Self {
         Self {
-            boot_stage: node.replica().boot().as_str(),
+            boot_stage: "",
+            boot_logged_at: Millis::ZERO,
             node,
             leader_state: None,
             peers,
@@ -185,18 +190,13 @@
             );
             self.role = role;
         }
-        if boot_stage != self.boot_stage {
-            let level = if replica.boot().is_stale() {
-                Level::Error
-            } else {
-                Level::Info
-            };
-            event(
-                level,
-                "boot",
-                &[("stage", &boot_stage), ("replica", replica.id())],
-            );
+        let is_waiting = !replica.boot().is_open();
+        if boot_stage != self.boot_stage
+            || (is_waiting && now.since(self.boot_logged_at) >= BOOT_LOG_INTERVAL)
+        {
+            self.log_boot(boot_stage);
             self.boot_stage = boot_stage;
+            self.boot_logged_at = now;
         }
         let is_new_term = self
             .leader_state
@@ -209,6 +209,38 @@
         }
     }
 
+    /// Logs the boot stage, with what decides whether the replica takes part.
+    fn log_boot(&self, stage: &'static str) {
+        let replica = self.node.replica();
+        let boot = replica.boot();
+        let members = replica.members().iter();
+        let members: Vec<String> = members
+            .map(|(id, member)| {
+                let mark = if member.is_voter { "" } else { "?" };
+                format!("{id}{mark}")
+            })
+            .collect();
+        let confirmed: Vec<String> = boot.confirmed_by().map(ToString::to_string).collect();
+        let blanks: Vec<String> = boot.blanks().map(ToString::to_string).collect();
+        event(
+            if boot.is_stale() {
+                Level::Error
+            } else {
+                Level::Info
+            },
+            "boot",
+            &[
+                ("stage", &stage),
+                ("replica", replica.id()),
+                ("term", &replica.term()),
+                ("last", &replica.log().last().index),
+                ("members", &members.join(",")),
+                ("confirmed_by", &confirmed.join(",")),
+                ("blanks", &blanks.join(",")),
+            ],
+        );
+    }
+
     /// Reopens the data folder after a disk failure, or as a new replica if this one is outdated.
     fn reopen_if_needed(&mut self) {
         let now = self.clock.now();
