--- a/papayatray_state/tests/state/repair.rs
+++ b/papayatray_state/tests/state/repair.rs
@@ -158,3 +158,57 @@
     cluster.settle(100);
     assert_eq!(cluster.leader(), None);
 }
+
+/// Rounds of 40 ms within which sound replicas must take part again after the last start: a second.
+const OPEN_ROUNDS: usize = 25;
+/// Rounds of 40 ms within which the group must have a leader: the recovery bound of twelve seconds.
+const RECOVERY_ROUNDS: usize = 300;
+
+/// Loses the disk of one of five replicas, crashes the leader `leader_delay` rounds later, and lets the
+/// repair have its time. Then all lose power, and `others` their disks too.
+///
+/// `lost` and `others` are counted from the leader.
+fn assert_recovery(lost: usize, leader_delay: usize, others: [usize; 2]) {
+    let mut cluster = Cluster::self_repairing(5);
+    cluster.settle(REPAIR_ROUNDS);
+    commit_change(&mut cluster, 1);
+    let leader = cluster.leader().expect("a leader");
+    let vm = |offset: usize| (leader + offset) % 5;
+    cluster.crash(vm(lost), 0);
+    cluster.wipe(vm(lost));
+    cluster.start(vm(lost));
+    cluster.settle(leader_delay);
+    cluster.crash(leader, 0);
+    cluster.settle(5);
+    cluster.start(leader);
+    cluster.settle(REPAIR_ROUNDS);
+    for number in 0..5 {
+        cluster.crash(number, 0);
+    }
+    cluster.network.clear();
+    for other in others {
+        cluster.wipe(vm(other));
+    }
+    for number in 0..5 {
+        cluster.start(number);
+    }
+    cluster.settle(OPEN_ROUNDS);
+    let open = (0..5).filter(|number| cluster.node(*number).replica().boot().is_open());
+    assert!(open.count() >= 3, "{}", cluster.describe());
+    cluster.settle(RECOVERY_ROUNDS);
+    assert!(cluster.leader().is_some(), "{}", cluster.describe());
+    cluster.check_durability();
+}
+
+#[test]
+fn group_recovers_from_a_loss_of_power_and_of_two_disks_after_a_repair_under_a_leader_change() {
+    for lost in 1..5 {
+        for leader_delay in (0..25).step_by(2) {
+            for others in [[0, 1], [0, 2], [1, 3], [2, 4], [3, 4]] {
+                if !others.contains(&lost) {
+                    assert_recovery(lost, leader_delay, others);
+                }
+            }
+        }
+    }
+}
