bench(decisions): time to notice a cut, false verdicts and requests served, at 7 to 860 entries

Played load for papayatray_core::gateway::reach: 1, a third, and all but one of the entries cut off, connections that hang; the baseline ejects endpoints.

--- a/papayatray_bench/src/decisions/mod.rs
+++ b/papayatray_bench/src/decisions/mod.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod cost;
 mod poison;
+mod reach;
 mod rollout;
 
 use rand::Rng;
@@ -22,6 +23,7 @@
     rollout::run(report);
     admission::run(report);
     poison::run(report);
+    reach::run(report);
     cost::run(report);
 }
 
