fix(state): answer a leader whose address the replica has not been told

Cause: a disk had been lost seven seconds before, and the new replica on that machine never joined. It was admitted as a learner and opened by the leader's first message, but had no member list yet, and of the addresses in its settings none was that of the leader, which was not one of the three seeds. Its answers were dropped; the leader removed the silent learner after 1.5 s and admitted it again, and so on. Then three of five were gone.

Change: each message carries the address of its sender, and a replica keeps the addresses of senders that its member list does not name. The same holds for replicas that were removed, which a leader has to tell so.

The simulated cluster delivered messages by name, so no history found it. It now loses messages to replicas whose address the sender does not know; the new test, a disk lost under a leader that is no founder, fails without the fix. A class of its own: whom a process can answer depended on what it was configured with.

--- a/papayatray_state/src/node.rs
+++ b/papayatray_state/src/node.rs
@@ -123,12 +123,6 @@
     pub const fn disable_bootstrap(&mut self) {
         self.replica.disable_bootstrap();
     }
-
-    /// Returns the configured address of a founding VM.
-    pub fn founder_address(&self, vm: &VmId) -> Option<&str> {
-        self.replica.boot().founder_address(vm)
-    }
-
     /// Returns the replica.
     pub const fn replica(&self) -> &Replica {
         &self.replica
--- a/papayatray_state/src/replica/boot.rs
+++ b/papayatray_state/src/replica/boot.rs
@@ -296,7 +296,7 @@
                 predecessor,
             } => {
                 self.on_blank(from, address, predecessor.as_ref());
-                self.forward_blank(from, to, message);
+                self.forward_blank(from, address, to, message);
             }
             Message::Bootstrap { members } => self.on_bootstrap(members),
             Message::Removed { term } => self.on_removed(to, *term),
@@ -354,13 +354,19 @@
     /// Forwards a blank replica's announcement to the leader, which the sender may not know.
     ///
     /// Only an announcement that came directly from its sender is forwarded.
-    fn forward_blank(&mut self, from: &ReplicaId, to: &ReplicaId, message: &Message) {
+    fn forward_blank(
+        &mut self,
+        from: &ReplicaId,
+        address: &str,
+        to: &ReplicaId,
+        message: &Message,
+    ) {
         let is_direct = *to == placeholder_id(&self.id.vm);
         let Some(leader) = self.leader.clone().filter(|leader| *leader != self.id) else {
             return;
         };
         if is_direct && self.boot.is_open() {
-            self.forward(from, &leader, message.clone());
+            self.forward(from, address, &leader, message.clone());
         }
     }
 
--- a/papayatray_state/src/replica/core.rs
+++ b/papayatray_state/src/replica/core.rs
@@ -5,6 +5,7 @@
 
 use papayatray_core::clock::Millis;
 use papayatray_core::id::Term;
+use papayatray_core::id::VmId;
 
 use super::Entry;
 use super::Envelope;
@@ -126,6 +127,8 @@
     pub(super) progress: BTreeMap<ReplicaId, Progress>,
     /// Highest term and index that each replica has acknowledged, for rollback checks.
     pub(super) acknowledged_by: BTreeMap<ReplicaId, (Term, Index)>,
+    /// Address of each VM whose replica has sent a message without being a known member.
+    heard_addresses: BTreeMap<VmId, String>,
     /// Latest snapshot, for followers that lag behind the log.
     pub(super) snapshot: Snapshot,
     /// Time at which the leader began to transfer its leadership.
@@ -174,6 +177,7 @@
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
             acknowledged_by: BTreeMap::new(),
+            heard_addresses: BTreeMap::new(),
             snapshot: restored.snapshot,
             transfer_start: None,
             target_voters: None,
@@ -187,6 +191,17 @@
 
 /// # Queries
 impl Replica {
+    /// Returns the address to which messages for a replica are sent: that in the member list, else the
+    /// one that the replica's VM has sent from, else the configured one of a founder.
+    pub fn address_of(&self, id: &ReplicaId) -> Option<&str> {
+        let member = self.log.members().get(id);
+        let address = member.map(|member| member.address.as_str());
+        let heard = || self.heard_addresses.get(&id.vm).map(String::as_str);
+        address
+            .or_else(heard)
+            .or_else(|| self.boot.founder_address(&id.vm))
+    }
+
     /// Returns the replica's id.
     pub const fn id(&self) -> &ReplicaId {
         &self.id
@@ -293,7 +308,13 @@
     /// Handles a message from another replica.
     pub fn receive(&mut self, now: Millis, envelope: Envelope) {
         self.now = self.now.max(now);
-        let Envelope { from, to, message } = envelope;
+        let Envelope {
+            from,
+            address,
+            to,
+            message,
+        } = envelope;
+        self.record_address(&from, address);
         if matches!(
             message,
             Message::RollbackCheckRequest { .. } | Message::PreVoteRequest { .. }
@@ -310,6 +331,16 @@
         }
     }
 
+    /// Records the address of a sender that the member list does not name.
+    ///
+    /// A blank replica that is admitted has to answer the leader before it has any member list, and the
+    /// leader need not be a founder.
+    fn record_address(&mut self, from: &ReplicaId, address: String) {
+        if self.log.members().get(from).is_none() {
+            self.heard_addresses.insert(from.vm.clone(), address);
+        }
+    }
+
     fn receive_open(&mut self, from: &ReplicaId, message: Message) {
         match message {
             Message::PreVoteRequest { term, last } => self.on_pre_vote(from, term, last),
@@ -404,16 +435,24 @@
     pub(super) fn send(&mut self, to: &ReplicaId, message: Message) {
         let envelope = Envelope {
             from: self.id.clone(),
+            address: self.address.clone(),
             to: to.clone(),
             message,
         };
         self.ready.messages.push(envelope);
     }
 
-    /// Forwards a message to `to`, with its original sender `from`.
-    pub(super) fn forward(&mut self, from: &ReplicaId, to: &ReplicaId, message: Message) {
+    /// Forwards a message to `to`, with its original sender `from` and the sender's address.
+    pub(super) fn forward(
+        &mut self,
+        from: &ReplicaId,
+        address: &str,
+        to: &ReplicaId,
+        message: Message,
+    ) {
         let envelope = Envelope {
             from: from.clone(),
+            address: address.to_owned(),
             to: to.clone(),
             message,
         };
--- a/papayatray_state/src/replica/message.rs
+++ b/papayatray_state/src/replica/message.rs
@@ -178,6 +178,8 @@
 pub struct Envelope {
     /// Sender.
     pub from: ReplicaId,
+    /// Address of the sender, for a receiver that has no member list yet.
+    pub address: String,
     /// Receiver.
     pub to: ReplicaId,
     /// The message.
--- a/papayatray_state/tests/state/cluster.rs
+++ b/papayatray_state/tests/state/cluster.rs
@@ -223,7 +223,11 @@
             return;
         };
         let turn = node.turn(now);
-        self.network.extend(turn.messages);
+        // As in a daemon, a message to a replica whose address is not known is lost.
+        let replica = node.replica();
+        let sent = turn.messages.into_iter();
+        let sent = sent.filter(|envelope| replica.address_of(&envelope.to).is_some());
+        self.network.extend(sent);
         let excess = self.network.len().saturating_sub(MAX_IN_TRANSIT);
         self.network.drain(..excess);
         for (id, result) in turn.replies {
--- a/papayatray_state/tests/state/repair.rs
+++ b/papayatray_state/tests/state/repair.rs
@@ -50,6 +50,34 @@
     cluster.check_durability();
 }
 
+#[test]
+fn wiped_replica_rejoins_under_a_leader_that_is_no_founder() {
+    let mut cluster = Cluster::self_repairing(5);
+    cluster.settle(REPAIR_ROUNDS);
+    commit_change(&mut cluster, 1);
+    // The first three VMs are the founders.
+    while cluster.leader().is_none_or(|leader| leader < 3) {
+        if let Some(leader) = cluster.leader() {
+            cluster.crash(leader, 0);
+            cluster.settle(25);
+            cluster.start(leader);
+        }
+        cluster.settle(25);
+    }
+    let lost = 0;
+    cluster.crash(lost, 0);
+    cluster.wipe(lost);
+    cluster.start(lost);
+    cluster.settle(REPAIR_ROUNDS);
+    let joining = cluster.vms[lost].id.to_string();
+    assert!(
+        voters(&cluster).contains(&joining),
+        "{}",
+        cluster.describe()
+    );
+    cluster.check_durability();
+}
+
 #[test]
 fn deployment_survives_the_loss_of_another_disk_right_after_a_repair() {
     let (mut cluster, leader) = settled_cluster();
--- a/papayatray_state/tests/state/single.rs
+++ b/papayatray_state/tests/state/single.rs
@@ -94,6 +94,7 @@
     fn receive_unsynced(&mut self, from: u64, at: Millis, message: Message) -> Ready {
         let envelope = Envelope {
             from: replica_id(from),
+            address: format!("vm-{from}"),
             to: replica_id(1),
             message,
         };
--- a/papayatray_wire/tests/wire.rs
+++ b/papayatray_wire/tests/wire.rs
@@ -39,6 +39,7 @@
     let message = Message::TimeoutNow { term: Term(7) };
     Frame::Replica(Box::new(Envelope {
         from: replica_id(1),
+        address: "127.0.0.1:7001".to_owned(),
         to: replica_id(2),
         message,
     }))
--- a/papayatrayd/src/control/control_loop.rs
+++ b/papayatrayd/src/control/control_loop.rs
@@ -172,9 +172,8 @@
     }
 
     fn address_of(&self, id: &ReplicaId) -> Option<String> {
-        let member = self.node.replica().members().get(id);
-        let address = member.map(|member| member.address.clone());
-        address.or_else(|| self.node.founder_address(&id.vm).map(str::to_owned))
+        let address = self.node.replica().address_of(id);
+        address.map(str::to_owned)
     }
 
     /// Logs changes of role and boot stage, and creates or drops the leader state accordingly.
