refactor(gateway): send over pooled or new connections in one place

The exchange with an endpoint and the one with an entry that carries attempts each took a pooled connection, retried on a new one if the pooled one had been closed, and sent there. ConnectionPool::send does so for both; what differs, how a connection is opened and what an error means, stays with the callers. The declined attempts of a hop log a shorter text.

--- a/papayatray_state/src/node.rs
+++ b/papayatray_state/src/node.rs
@@ -123,6 +123,7 @@
     pub const fn disable_bootstrap(&mut self) {
         self.replica.disable_bootstrap();
     }
+
     /// Returns the replica.
     pub const fn replica(&self) -> &Replica {
         &self.replica
--- a/papayatrayd/src/gateway/connection_pool.rs
+++ b/papayatrayd/src/gateway/connection_pool.rs
@@ -168,6 +168,36 @@
         }
     }
 
+    /// Sends a request over a pooled connection if it may use one, else over the one that `open` opens, and
+    /// waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of `open` or [`ExchangeError::NotSent`] if the other end certainly received
+    /// nothing, and [`ExchangeError::Lost`] if the request may have been run.
+    pub(super) async fn send<F>(
+        &self,
+        key: &ConnectionKey,
+        outgoing: &OutgoingRequest,
+        now: Millis,
+        open: F,
+    ) -> Result<EndpointResponse, ExchangeError>
+    where
+        F: Future<Output = Result<EndpointConnection, ExchangeError>>,
+    {
+        if !outgoing.needs_new_connection
+            && let Some(connection) = self.take(key, now).await
+        {
+            match send_request(connection, outgoing).await {
+                // The other end may have closed the pooled connection meanwhile, which is no
+                // failure: retry on a new one.
+                Err(ExchangeError::NotSent(_)) => {}
+                other => return other,
+            }
+        }
+        send_request(open.await?, outgoing).await
+    }
+
     /// Adds a connection to the pool; the body of its last response must have been read to its end.
     ///
     /// `headers` are those of that response. If they announce a keep-alive time, the connection is
@@ -204,11 +234,7 @@
     }
 
     /// Removes and returns an idle connection that is ready for a request, if there is one.
-    pub(super) async fn take(
-        &self,
-        key: &ConnectionKey,
-        now: Millis,
-    ) -> Option<EndpointConnection> {
+    async fn take(&self, key: &ConnectionKey, now: Millis) -> Option<EndpointConnection> {
         loop {
             let mut last = {
                 let mut idle = self.idle();
@@ -332,7 +358,7 @@
 ///
 /// Returns [`ExchangeError::NotSent`] if the endpoint certainly received nothing, and
 /// [`ExchangeError::Lost`] if it may have run the request.
-pub(super) async fn send_request(
+async fn send_request(
     mut connection: EndpointConnection,
     outgoing: &OutgoingRequest,
 ) -> Result<EndpointResponse, ExchangeError> {
--- a/papayatrayd/src/gateway/exchange.rs
+++ b/papayatrayd/src/gateway/exchange.rs
@@ -6,7 +6,6 @@
 use super::connection_pool::EndpointResponse;
 use super::connection_pool::ExchangeError;
 use super::connection_pool::OutgoingRequest;
-use super::connection_pool::send_request;
 use super::fleet::SelectedEndpoint;
 use super::state::Gateway;
 
@@ -47,16 +46,8 @@
     ) -> Result<EndpointResponse, ExchangeError> {
         let now = self.clock.now();
         let key = ConnectionKey::Endpoint(endpoint.id.clone());
-        if !outgoing.needs_new_connection
-            && let Some(connection) = self.connections.take(&key, now).await
-        {
-            match send_request(connection, outgoing).await {
-                // The endpoint may have closed the pooled connection meanwhile, which is no
-                // failure: retry on a new one.
-                Err(ExchangeError::NotSent(_)) => {}
-                other => return other,
-            }
-        }
-        send_request(self.connect(endpoint).await?, outgoing).await
+        self.connections
+            .send(&key, outgoing, now, self.connect(endpoint))
+            .await
     }
 }
--- a/papayatrayd/src/gateway/hop/client.rs
+++ b/papayatrayd/src/gateway/hop/client.rs
@@ -22,7 +22,6 @@
 use crate::gateway::connection_pool::EndpointResponse;
 use crate::gateway::connection_pool::ExchangeError;
 use crate::gateway::connection_pool::OutgoingRequest;
-use crate::gateway::connection_pool::send_request;
 use crate::gateway::fleet::SelectedEndpoint;
 use crate::gateway::state::Gateway;
 use crate::observe::request_event;
@@ -213,29 +212,19 @@
         entry: &EntryInfo,
         outgoing: &OutgoingRequest,
     ) -> Result<EndpointResponse, ExchangeError> {
-        let lost = |error: ExchangeError| match error {
-            ExchangeError::NotSent(text) => ExchangeError::Declined(text),
-            other => ExchangeError::HopLost(other.to_string()),
-        };
         let key = ConnectionKey::Entry(entry.peer_address.clone());
-        if !outgoing.needs_new_connection
-            && let Some(connection) = self.connections.take(&key, self.clock.now()).await
-        {
-            match send_request(connection, outgoing).await {
-                // The other entry may have closed the pooled connection meanwhile.
-                Err(ExchangeError::NotSent(_)) => {}
-                other => return other.map_err(lost),
-            }
-        }
         let address: Result<SocketAddr, _> = entry.peer_address.parse();
         let address =
             address.map_err(|error| ExchangeError::Declined(format!("peer address: {error}")))?;
-        let opened = self
+        let opening = self
             .connections
-            .open_authenticated(key, address, &hops.key)
-            .await;
-        let connection = opened.map_err(|error| ExchangeError::Declined(error.to_string()))?;
-        send_request(connection, outgoing).await.map_err(lost)
+            .open_authenticated(key.clone(), address, &hops.key);
+        let now = self.clock.now();
+        let sent = self.connections.send(&key, outgoing, now, opening).await;
+        sent.map_err(|error| match error {
+            ExchangeError::NotSent(text) => ExchangeError::Declined(text),
+            other => ExchangeError::HopLost(other.to_string()),
+        })
     }
 
     fn log_hop(
