feat(gateway): log and count what a plan costs the sync that carries it

On-call engineers could not tell whether a late version, a failed sync or a change of the leader came from the entry's link or from the control replica's processor. New: plan_duplicate and the time that a plan took, at entries; bulk_written, the time for which a large reply occupies its connection; turn_delayed, a control thread that was held up; counters sync_failed and sync_abandoned.

--- a/papayatrayd/src/control/control_loop.rs
+++ b/papayatrayd/src/control/control_loop.rs
@@ -37,6 +37,9 @@
 
 /// Interval between two turns of a replica without input, which drive its timers.
 const TICK_INTERVAL: Millis = Millis::new(20);
+/// Time between two turns from which on the later one counts as delayed: heartbeats of replicas are
+/// sent and answered in turns.
+const DELAYED_TURN: Millis = Millis::new(150);
 /// Maximum number of inputs handled in one turn, which share one disk sync.
 const MAX_TURN_INPUTS: usize = 512;
 /// Back-off between two attempts to reopen the data folder.
@@ -105,6 +108,7 @@
 
     /// Handles inputs in turns until the last [`Control`](super::Control) is dropped.
     pub(super) fn run(mut self, inputs: &Receiver<Input>) {
+        let mut last_turn_at = self.clock.now();
         loop {
             match inputs.recv_timeout(TICK_INTERVAL.to_duration()) {
                 Ok(first) => self.handle_input(first),
@@ -114,7 +118,10 @@
             for input in inputs.try_iter().take(MAX_TURN_INPUTS) {
                 self.handle_input(input);
             }
-            let turn = self.node.turn(self.clock.now());
+            let now = self.clock.now();
+            log_delay(now.since(last_turn_at));
+            last_turn_at = now;
+            let turn = self.node.turn(now);
             self.finish_turn(turn);
             self.reopen_if_needed();
         }
@@ -364,3 +371,14 @@
         self.node.replica_mut().transfer_leadership(now);
     }
 }
+
+/// Logs the time since the last turn if it is too long.
+fn log_delay(since_last: Millis) {
+    if since_last >= DELAYED_TURN {
+        event(
+            Level::Warn,
+            "turn_delayed",
+            &[("since_last_ms", &since_last.as_u64())],
+        );
+    }
+}
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -32,6 +32,7 @@
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::EndpointId;
 use papayatray_core::id::Incarnation;
+use papayatray_core::id::PlanVersion;
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
 use papayatray_wire::link::ClusterKey;
@@ -259,13 +260,9 @@
     pub fn apply_sync(&self, control: &str, reply: SyncReply, sent_at: Millis) {
         if let Some(plan) = reply.plan {
             let version = plan.version;
-            if self.set_route_table(RouteTable::new(plan)) {
-                event(
-                    Level::Info,
-                    "plan_applied",
-                    &[("version", &version), ("control", &control)],
-                );
-            }
+            let took = self.clock.now().since(sent_at);
+            let is_applied = self.set_route_table(RouteTable::new(plan));
+            self.log_plan(control, version, is_applied, took);
         }
         let now = self.clock.now();
         self.apply_cold_rules(now);
@@ -314,6 +311,26 @@
 
 /// # Plan and evidence
 impl Gateway {
+    /// Logs a plan that was received `took` after it was asked for; one that is not newer than the
+    /// plan in force was received in vain.
+    fn log_plan(&self, control: &str, version: PlanVersion, is_applied: bool, took: Millis) {
+        let name = if is_applied {
+            "plan_applied"
+        } else {
+            "plan_duplicate"
+        };
+        self.metrics.count_event(name);
+        event(
+            Level::Info,
+            name,
+            &[
+                ("version", &version),
+                ("control", &control),
+                ("took_ms", &took.as_u64()),
+            ],
+        );
+    }
+
     /// Returns the plan in force at this entry, or `None` before one was received.
     pub fn route_table(&self) -> Option<Arc<RouteTable>> {
         let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -130,12 +130,13 @@
                     sync.record_success(&address);
                 }
                 Some(Err(error)) => {
+                    self.gateway.metrics.count_event("sync_failed");
                     self.replicas().record_failure(&address);
                     sync.record_failure(&address, &error);
                     Timer::after(sync.backoff.to_duration()).await;
                     sync.backoff = Millis::new(sync.backoff.as_u64() * 2).min(MAX_BACKOFF);
                 }
-                None => {}
+                None => self.gateway.metrics.count_event("sync_abandoned"),
             }
         }
     }
--- a/papayatrayd/src/peer/server.rs
+++ b/papayatrayd/src/peer/server.rs
@@ -1,6 +1,7 @@
 //! Server side of the links: handles calls, and passes replica messages to the local replica.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use jsonrpsee_core::server::RpcModule;
 use papayatray_core::clock::Millis;
@@ -25,6 +26,8 @@
 const WRITE_TIMEOUT: Millis = Millis::from_secs(5);
 /// Maximum number of replies that wait to be written to a connection.
 const QUEUE_CAPACITY: usize = 1_024;
+/// Size of a write from which on it is logged: other replies on the connection wait for its end.
+const BULK_BYTES: usize = 64 << 10;
 /// Buffer size of subscriptions, which the RPC library requires; no method has any.
 const SUBSCRIPTION_BUFFER: usize = 1;
 
@@ -125,8 +128,20 @@
             Timer::after(WRITE_TIMEOUT.to_duration()).await;
             Err(LinkError::Timeout)
         };
-        if sender.send(&frames).or(timeout).await.is_err() {
+        let started_at = Instant::now();
+        let Ok(bytes) = sender.send(&frames).or(timeout).await else {
             return;
+        };
+        if bytes >= BULK_BYTES {
+            event(
+                Level::Info,
+                "bulk_written",
+                &[
+                    ("bytes", &bytes),
+                    ("replies", &frames.len()),
+                    ("took_ms", &started_at.elapsed().as_millis()),
+                ],
+            );
         }
     }
 }
