test(gateway): large plans on a narrow link delay everything else, and never arrive

An entry behind a link of 120 KB/s syncs with a leading replica over real sockets. A plan of 1,400 routes is not in force after 30 s; a departure announced while it is sent comes after 143,588 further bytes; and while a version with one changed route follows every 150 ms, the entry loses its evidence and still works by the first version. The sync can be started without a replica for them; ControlState takes a plan and a lease directly. No logic is changed.

--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -163,6 +163,20 @@
         self.inner().applied.plan_version
     }
 
+    /// Puts a plan in force if it is newer than the current one, and informs the entries.
+    pub fn publish(&self, plan: &Plan) {
+        let is_changed = self.inner().applied.set_plan(plan);
+        if is_changed {
+            self.updated.notify(usize::MAX);
+        }
+    }
+
+    /// Sets the end of the leader lease, or `None` if another replica leads.
+    pub fn set_lease_end(&self, lease_end: Option<Millis>) {
+        self.inner().applied.lease_end = lease_end;
+        self.updated.notify(usize::MAX);
+    }
+
     /// Returns the applied roll-outs.
     pub(super) fn rollouts(&self) -> Arc<RolloutTable> {
         Arc::clone(&self.inner().applied.rollouts)
@@ -196,6 +210,16 @@
     fn has_leader_lease(&self, now: Millis) -> bool {
         self.lease_end.is_some_and(|lease_end| now < lease_end)
     }
+
+    /// Stores a plan that is newer than the current one; returns whether it is.
+    fn set_plan(&mut self, plan: &Plan) -> bool {
+        let is_newer = self.plan.is_none() || plan.version > self.plan_version;
+        if is_newer {
+            self.plan_version = plan.version;
+            self.plan = Some(Arc::new(plan.clone()));
+        }
+        is_newer
+    }
 }
 
 /// Copies the state that the control thread has applied from the log into a [`ControlState`].
@@ -213,14 +237,8 @@
         applied.lease_end = node.replica().current_until(now);
         // Entries renew their evidence at the leader, so they must hear of a new one at once.
         let mut is_changed = led_before != applied.has_leader_lease(now);
-        let publication = machine.publication();
-        let version = publication
-            .map(|publication| publication.plan.version)
-            .unwrap_or_default();
-        if version > applied.plan_version || (applied.plan.is_none() && publication.is_some()) {
-            applied.plan_version = version;
-            applied.plan = publication.map(|publication| Arc::new(publication.plan.clone()));
-            is_changed = true;
+        if let Some(publication) = machine.publication() {
+            is_changed |= applied.set_plan(&publication.plan);
         }
         if machine.rollouts().changes() > applied.rollouts.changes() {
             applied.rollouts = Arc::new(machine.rollouts().clone());
--- a/papayatrayd/src/gateway/daemon.rs
+++ b/papayatrayd/src/gateway/daemon.rs
@@ -187,7 +187,6 @@
     tasks.run(async move {
         let clock: Arc<dyn Clock> = Arc::new(SteadyClock::new(SystemClock::default()));
         let key = ClusterKey::new(&identity.secret);
-        let peers = Arc::new(Peers::new(spawner.clone(), key.clone()));
         // State of this entry.
         let mut gateway = Gateway::new(
             identity.vm.clone(),
@@ -209,7 +208,12 @@
         if let Some(address) = role.peer_address {
             let listener = bind(address).await?;
             let hop_server = Arc::new(HopServer::new(Arc::clone(&gateway)));
-            spawner.spawn(serve_peers(listener, hop_server, key, spawner.clone()));
+            spawner.spawn(serve_peers(
+                listener,
+                hop_server,
+                key.clone(),
+                spawner.clone(),
+            ));
             spawner.spawn(Arc::clone(&gateway).watch_reach());
         }
         let relay = Arc::new(Relay::new(Arc::clone(&gateway)));
@@ -221,7 +225,7 @@
             spawner.spawn(serve_http(listener, handler, spawner.clone()));
         }
         // Receives the plan and the registered endpoints from the control replicas.
-        let sync_client = Arc::new(SyncClient::new(Arc::clone(&gateway), peers));
+        let sync_client = Arc::new(SyncClient::new(Arc::clone(&gateway), key));
         sync_client.add_replicas(&to_strings(&identity.seeds));
         spawner.spawn(maintain(Arc::clone(&gateway)));
         spawner.spawn(watch_settings(
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -12,6 +12,7 @@
 use papayatray_core::gateway::replicas::ReplicaView;
 use papayatray_core::gateway::updates::UpdateBatch;
 use papayatray_core::id::PlanVersion;
+use papayatray_wire::link::ClusterKey;
 use papayatray_wire::peer::CallError;
 use papayatray_wire::peer::Cursor;
 use papayatray_wire::peer::GatewayVersions;
@@ -38,9 +39,9 @@
 /// Syncs an entry with every control replica: reports the entry's loads, tallies and crashes, and
 /// receives the plan, the roll-outs and the lists of endpoints and entries.
 #[derive(Debug)]
-pub(super) struct SyncClient {
+pub struct SyncClient {
     gateway: Arc<Gateway>,
-    peers: Arc<Peers>,
+    peers: Peers,
     /// Control replicas that the entry syncs with, by address.
     replicas: Mutex<ReplicaTable>,
 }
@@ -76,7 +77,11 @@
 }
 
 impl SyncClient {
-    pub(super) fn new(gateway: Arc<Gateway>, peers: Arc<Peers>) -> Self {
+    /// Creates a client that syncs with no replica yet.
+    ///
+    /// Both sides of each connection prove that they hold `key`.
+    pub fn new(gateway: Arc<Gateway>, key: ClusterKey) -> Self {
+        let peers = Peers::new(gateway.tasks.clone(), key);
         Self {
             gateway,
             peers,
@@ -85,7 +90,7 @@
     }
 
     /// Starts syncing with the control replicas at these addresses, if not started yet.
-    pub(super) fn add_replicas(self: &Arc<Self>, controls: &[String]) {
+    pub fn add_replicas(self: &Arc<Self>, controls: &[String]) {
         for address in controls {
             if self.replicas().add(address) {
                 event(Level::Info, "control_known", &[("address", address)]);
--- a/papayatrayd/tests/gateway/main.rs
+++ b/papayatrayd/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "a test that cannot go on fails")]
 
 mod addresses;
+mod bulk;
 mod dial;
 mod endless;
 mod endpoint;
@@ -12,6 +13,7 @@
 mod homes;
 mod leaving;
 mod liveness;
+mod narrow_link;
 mod pauses;
 mod rate_limits;
 mod reach;
