fix(gateway): send the plan in pieces, by what has changed, on connections of its own

What callers saw: under changes of a plan of 1,400 routes, requests were served by versions that had been replaced 3.7 s before (CONFIG), requests reached endpoints that were leaving (DRAIN), and a third of the entries refused all requests that need a key.

Cause: each version was sent whole in the reply of the sync that also carries evidence, departures and endpoints. On 10 Mbit/s that is 0.4 s and more for each copy; a late copy was asked for at every replica; a call that took too long was thrown away with all of it; the next version began anew. Serialising a copy for each entry also kept the control replicas' network thread from the heartbeats between them, so the leader stepped down six times in 20 s. Class: head-of-line blocking of small urgent facts by bulk, and work that is begun again and never done under overload.

Fix: replicas keep the last change of each item in the order of the versions; an entry reads it from its position in compressed pieces and puts a version in force when it has reached it. Any part received counts, whatever is published meanwhile and whichever replica sends the rest. A digest of all items guards the copy.

A replica with 10,000 routes still loses its lead: its log entries hold whole plans.

--- a/papayatray_core/src/gateway/order.rs
+++ b/papayatray_core/src/gateway/order.rs
@@ -3,11 +3,15 @@
 //! Load: more streams than the engines can start at once. Engines start the most urgent of the
 //! waiting requests first, and those of equal urgency in the order of their arrival.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use crate::clock::Millis;
-use crate::gateway::plan::Plan;
+use crate::gateway::plan::Organisation;
 use crate::gateway::plan::Route;
+use crate::gateway::plan::Service;
+use crate::id::OrganisationId;
+use crate::id::ServiceId;
 
 /// Least urgent value; endpoints accept 0 to 9.
 const LEAST: u8 = 9;
@@ -39,27 +43,40 @@
 
 /// Returns whether the urgency of a route's requests may be stated: they are streams that a model
 /// produces.
-pub fn is_ordered(plan: &Plan, route: &Route) -> bool {
+pub fn is_ordered(services: &BTreeMap<ServiceId, Service>, route: &Route) -> bool {
     let has_models = |service| {
-        let service = plan.services.get(service);
+        let service = services.get(service);
         service.is_some_and(|service| !service.costs.is_empty())
     };
-    let mut services = route.targets.iter().map(|target| &target.service);
-    route.kind.is_stream() && (!route.sizes.is_empty() || services.any(has_models))
+    let mut targets = route.targets.iter().map(|target| &target.service);
+    route.kind.is_stream() && (!route.sizes.is_empty() || targets.any(has_models))
 }
 
 /// Returns whether the requests of a plan that may be ordered differ in rank.
 ///
 /// Organisations with a rank of their own take part on all routes that need a key.
-pub fn has_different_ranks(plan: &Plan) -> bool {
+pub fn has_different_ranks<'a, R>(
+    routes: R,
+    services: &BTreeMap<ServiceId, Service>,
+    organisations: &BTreeMap<OrganisationId, Organisation>,
+) -> bool
+where
+    R: Iterator<Item = &'a Route>,
+{
+    let own_ranks: BTreeSet<u8> = organisations.values().filter_map(|one| one.rank).collect();
+    let takes_route_rank =
+        organisations.is_empty() || organisations.values().any(|one| one.rank.is_none());
     let mut ranks = BTreeSet::new();
-    for route in plan.routes.iter().filter(|route| is_ordered(plan, route)) {
-        if route.public || plan.organisations.is_empty() {
+    for route in routes.filter(|route| is_ordered(services, route)) {
+        if route.public || takes_route_rank {
             ranks.insert(route.rank);
-        } else {
-            let organisations = plan.organisations.values();
-            ranks.extend(organisations.map(|one| one.rank.unwrap_or(route.rank)));
+        }
+        if !route.public {
+            ranks.extend(&own_ranks);
+        }
+        if ranks.len() > 1 {
+            return true;
         }
     }
-    ranks.len() > 1
+    false
 }
--- a/papayatray_core/tests/core/gateway_limits.rs
+++ b/papayatray_core/tests/core/gateway_limits.rs
@@ -5,9 +5,11 @@
 use papayatray_core::gateway::arrivals::ArrivalBudget;
 use papayatray_core::gateway::freshness::PlanFreshness;
 use papayatray_core::gateway::freshness::startup_wait;
+use papayatray_core::id::PlanVersion;
 use papayatray_core::id::ServiceId;
 
 const REVOCATION: Millis = Millis::new(5_000);
+const IN_FORCE: Millis = Millis::new(2_000);
 
 fn new_budget(ratio: f64, slack: f64) -> ArrivalBudget {
     ArrivalBudget::new(ArrivalBound {
@@ -19,9 +21,9 @@
 
 #[test]
 fn age_of_a_proof_counts_from_its_request() {
-    let mut freshness = PlanFreshness::new(REVOCATION);
+    let mut freshness = PlanFreshness::new(REVOCATION, IN_FORCE);
     assert!(!freshness.is_fresh(Millis::from_secs(1)));
-    freshness.renew(Millis::from_secs(10));
+    freshness.confirm(PlanVersion(0), Millis::from_secs(10));
     // A proof is fresh for nine tenths of the revocation bound.
     assert!(freshness.is_fresh(Millis::new(14_400)));
     assert!(!freshness.is_fresh(Millis::new(14_500)));
@@ -29,9 +31,9 @@
 
 #[test]
 fn late_proof_of_an_older_request_does_not_reduce_freshness() {
-    let mut freshness = PlanFreshness::new(REVOCATION);
-    freshness.renew(Millis::from_secs(10));
-    freshness.renew(Millis::from_secs(8));
+    let mut freshness = PlanFreshness::new(REVOCATION, IN_FORCE);
+    freshness.confirm(PlanVersion(0), Millis::from_secs(10));
+    freshness.confirm(PlanVersion(0), Millis::from_secs(8));
     assert_eq!(
         freshness.age(Millis::from_secs(12)),
         Some(Millis::from_secs(2))
@@ -40,8 +42,8 @@
 
 #[test]
 fn proof_is_stale_at_the_revocation_bound() {
-    let mut freshness = PlanFreshness::new(REVOCATION);
-    freshness.renew(Millis::from_secs(10));
+    let mut freshness = PlanFreshness::new(REVOCATION, IN_FORCE);
+    freshness.confirm(PlanVersion(0), Millis::from_secs(10));
     assert!(!freshness.is_fresh(Millis::from_secs(10) + REVOCATION));
 }
 
@@ -114,3 +116,30 @@
     assert!(startup_wait(process_age, None) < Millis::from_secs(2));
     assert_eq!(startup_wait(Millis::from_secs(5), None), Millis::ZERO);
 }
+
+/// Guards against an entry that refuses its callers while versions follow each other faster than it
+/// receives them.
+#[test]
+fn proof_counts_once_its_plan_arrives_whatever_was_published_since() {
+    let mut freshness = PlanFreshness::new(REVOCATION, IN_FORCE);
+    freshness.apply(PlanVersion(1));
+    freshness.confirm(PlanVersion(2), Millis::new(10_000));
+    freshness.confirm(PlanVersion(3), Millis::new(11_000));
+    assert_eq!(freshness.age(Millis::new(12_000)), None);
+    freshness.apply(PlanVersion(2));
+    assert_eq!(freshness.age(Millis::new(12_000)), Some(Millis::new(2_000)));
+    assert_eq!(freshness.lag(Millis::new(12_000)), Millis::new(1_000));
+}
+
+#[test]
+fn plan_is_overdue_once_it_has_been_outdated_for_most_of_the_bound() {
+    let mut freshness = PlanFreshness::new(REVOCATION, IN_FORCE);
+    freshness.apply(PlanVersion(1));
+    for time in [10_000, 10_200, 10_400] {
+        freshness.confirm(PlanVersion(2), Millis::new(time));
+    }
+    assert!(!freshness.is_overdue(Millis::new(11_799)));
+    assert!(freshness.is_overdue(Millis::new(11_800)));
+    freshness.apply(PlanVersion(3));
+    assert!(!freshness.is_overdue(Millis::new(11_800)));
+}
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -24,6 +24,7 @@
 mod gateway_pauses;
 mod gateway_placement;
 mod gateway_plan;
+mod gateway_plan_pieces;
 mod gateway_prefixes;
 mod gateway_rate_limits;
 mod gateway_reach;
--- a/papayatray_state/src/node.rs
+++ b/papayatray_state/src/node.rs
@@ -1,10 +1,13 @@
 //! Node: a replica with its store and its state machine, driven by an event loop.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use displaydoc::Display;
 use papayatray_core::clock::Millis;
 use papayatray_core::format::FormatLevel;
+use papayatray_core::gateway::plan::Plan;
+use papayatray_core::id::PlanVersion;
 use papayatray_core::id::Term;
 use papayatray_core::id::VmId;
 
@@ -62,6 +65,15 @@
     pub cause: String,
 }
 
+/// Plan that has come into force.
+#[derive(Clone, Debug)]
+pub enum PlanUpdate {
+    /// The plan of a restored state; the plans before it are not known.
+    Restored(Arc<Plan>),
+    /// The plan that follows the one in force before.
+    Published(Arc<Plan>),
+}
+
 /// Output of a [`Node::turn`].
 #[derive(Debug, Default)]
 pub struct Turn {
@@ -71,6 +83,8 @@
     pub replies: Vec<(ProposalId, Result<Reply, ProposeError>)>,
     /// Whether an entry was applied or a snapshot loaded.
     pub applied: bool,
+    /// Plans that have come into force since the last turn, in order.
+    pub plans: Vec<PlanUpdate>,
 }
 
 /// Replica with its store and state machine.
@@ -87,6 +101,8 @@
     rejected: Vec<(ProposalId, ProposeError)>,
     /// Bytes of commands and number of entries applied since the last snapshot.
     applied_since_snapshot: (u64, u64),
+    /// Plans that the next turn returns.
+    plans: Vec<PlanUpdate>,
     /// Set for good once an entry or a snapshot could not be decoded.
     halt: Option<Halt>,
 }
@@ -112,6 +128,7 @@
     ) -> Result<Self, StoreError> {
         let machine = StateMachine::from_state(&loaded.restored.snapshot.state)?;
         Ok(Self {
+            plans: restored_plan(&machine).into_iter().collect(),
             replica: Replica::new(id, address, loaded.restored, seed, now),
             store,
             machine,
@@ -200,6 +217,7 @@
         self.replica.tick(now);
         self.propose_all(now);
         self.process_ready(&mut turn);
+        turn.plans = std::mem::take(&mut self.plans);
         self.fail_superseded();
         let rejected = self.rejected.drain(..);
         turn.replies
@@ -258,6 +276,7 @@
     fn load_snapshot(&mut self, snapshot: &Snapshot) -> bool {
         match StateMachine::from_state(&snapshot.state) {
             Ok(machine) => {
+                self.plans.extend(restored_plan(&machine));
                 self.machine = machine;
                 self.applied_since_snapshot = (0, 0);
                 true
@@ -286,7 +305,7 @@
             Payload::Command(bytes) => match decode_command(bytes) {
                 Ok(timestamped) => {
                     self.applied_since_snapshot.0 += bytes.len() as u64;
-                    Some(self.machine.apply(&timestamped))
+                    Some(self.apply_command(&timestamped))
                 }
                 Err((lacks, cause)) => {
                     let index = entry.position.index;
@@ -311,6 +330,19 @@
         true
     }
 
+    /// Applies a command, and records the plan that it has put in force, if any.
+    fn apply_command(&mut self, timestamped: &TimestampedCommand) -> Reply {
+        let before = plan_version(&self.machine);
+        let reply = self.machine.apply(timestamped);
+        if plan_version(&self.machine) > before
+            && let Some(publication) = self.machine.publication()
+        {
+            let plan = Arc::new(publication.plan.clone());
+            self.plans.push(PlanUpdate::Published(plan));
+        }
+        reply
+    }
+
     /// Fails all pending and queued commands, because the node has halted.
     fn reject_all(&mut self, turn: &mut Turn) {
         self.fail_superseded();
@@ -374,6 +406,18 @@
     }
 }
 
+fn plan_version(machine: &StateMachine) -> Option<PlanVersion> {
+    let publication = machine.publication();
+    publication.map(|publication| publication.plan.version)
+}
+
+/// Returns the plan of a state that has just been restored, if there is one.
+fn restored_plan(machine: &StateMachine) -> Option<PlanUpdate> {
+    let publication = machine.publication()?;
+    let plan = Arc::new(publication.plan.clone());
+    Some(PlanUpdate::Restored(plan))
+}
+
 /// Decodes the command of a log entry; if that fails, returns the level that is needed and the cause.
 fn decode_command(bytes: &[u8]) -> Result<TimestampedCommand, (FormatLevel, String)> {
     let decoded: Result<TimestampedCommand, _> = postcard::from_bytes(bytes);
--- a/papayatray_wire/src/peer/gateway.rs
+++ b/papayatray_wire/src/peer/gateway.rs
@@ -112,7 +112,8 @@
     /// Whether the entry takes the replica for the leader; one that is not of the same opinion
     /// replies at once.
     pub expects_leader: bool,
-    /// Whether the reply is to contain a newer plan, not only its version.
+    /// Whether the reply is to contain a newer plan, not only its version; for replicas that do not
+    /// answer [`Method::PlanPiece`](super::Method::PlanPiece).
     pub wants_plan: bool,
     /// Whether the entry reads [`SyncReply::hints`] in place of `loads` and `cached_prefixes`.
     #[serde(default)]
@@ -194,8 +195,11 @@
     pub is_current: bool,
     /// Version of the plan that the replica has applied.
     pub version: PlanVersion,
-    /// Plan, if the entry has an older one.
+    /// Plan, if the entry has an older one and wants it in the reply.
     pub plan: Option<Plan>,
+    /// Whether the replica answers [`Method::PlanPiece`](super::Method::PlanPiece).
+    #[serde(default)]
+    pub serves_pieces: bool,
     /// Updates of endpoints since the entry's cursor.
     #[serde(rename = "news")]
     pub endpoints: EndpointUpdates,
--- a/papayatray_wire/src/peer/method.rs
+++ b/papayatray_wire/src/peer/method.rs
@@ -52,6 +52,8 @@
     Read,
     /// States which format levels a replica reads; any replica answers.
     Format,
+    /// Returns the changes of the plan that follow what an entry has received; any replica answers.
+    PlanPiece,
 }
 
 impl Method {
@@ -71,6 +73,7 @@
             Self::Spread => "spread",
             Self::Read => "read",
             Self::Format => "format",
+            Self::PlanPiece => "plan_piece",
         }
     }
 }
--- a/papayatray_wire/src/peer/mod.rs
+++ b/papayatray_wire/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod gateway;
 mod hints;
 mod method;
+mod plan;
 mod report;
 
 pub use call::CallError;
@@ -41,6 +42,10 @@
 pub use method::ReplaceRequest;
 pub use method::Span;
 pub use method::TraceRequest;
+pub use plan::PIECE_BYTES;
+pub use plan::PieceError;
+pub use plan::PieceReply;
+pub use plan::PieceRequest;
 pub use report::BillsReply;
 pub use report::BillsRequest;
 pub use report::EntryReport;
--- a/papayatray_wire/tests/wire.rs
+++ b/papayatray_wire/tests/wire.rs
@@ -4,6 +4,8 @@
 
 use papayatray_core::directory::Endpoint;
 use papayatray_core::gateway::endpoint_speed::SpeedUpdates;
+use papayatray_core::gateway::plan_log::PlanCursor;
+use papayatray_core::gateway::plan_log::PlanPiece;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::Term;
 use papayatray_core::id::VmId;
@@ -21,6 +23,8 @@
 use papayatray_wire::peer::CallError;
 use papayatray_wire::peer::GatewayVersions;
 use papayatray_wire::peer::Method;
+use papayatray_wire::peer::PieceError;
+use papayatray_wire::peer::PieceReply;
 use papayatray_wire::peer::ProposeRequest;
 use papayatray_wire::peer::SyncReply;
 use papayatray_wire::peer::decode_reply;
@@ -303,3 +307,26 @@
     };
     assert_eq!(serde_json::to_string(&unchanged).unwrap(), r#"{"upto":90}"#);
 }
+
+#[test]
+fn piece_of_a_plan_arrives_unchanged_and_a_cut_one_is_refused() {
+    let piece = PlanPiece {
+        is_restart: true,
+        text: "{\"Remove\":{\"Route\":[\"orders.example\",\"/a/\"]}}\n".repeat(1_000),
+        cursor: PlanCursor::default(),
+        digest: None,
+    };
+    let reply = PieceReply::from(piece.clone());
+    let json = serde_json::to_string(&reply).unwrap();
+    assert!(json.len() < piece.text.len() / 10);
+    let received: PieceReply = serde_json::from_str(&json).unwrap();
+    assert_eq!(PlanPiece::try_from(received).unwrap(), piece);
+    let content = serde_json::to_value(&reply).unwrap()["content"].clone();
+    let (kept, _) = content.as_str().unwrap().split_at(40);
+    let cut: PieceReply =
+        serde_json::from_str(&json.replace(content.as_str().unwrap(), kept)).unwrap();
+    assert!(matches!(
+        PlanPiece::try_from(cut),
+        Err(PieceError::Compression(_))
+    ));
+}
--- a/papayatrayd/src/control/control_loop.rs
+++ b/papayatrayd/src/control/control_loop.rs
@@ -165,7 +165,7 @@
     fn finish_turn(&mut self, turn: Turn) {
         let now = self.clock.now();
         if let Some(observer) = &mut self.observer {
-            observer.on_turn(&self.node, now);
+            observer.on_turn(&self.node, &turn, now);
         }
         for envelope in turn.messages {
             if let Some(address) = self.address_of(&envelope.to) {
--- a/papayatrayd/src/control/handle.rs
+++ b/papayatrayd/src/control/handle.rs
@@ -14,6 +14,7 @@
 use papayatray_state::machine::Reply;
 use papayatray_state::node::Node;
 use papayatray_state::node::ProposeError;
+use papayatray_state::node::Turn;
 use papayatray_state::replica::Envelope;
 use papayatray_state::storage::FolderDisk;
 use papayatray_state::storage::StoreError;
@@ -78,7 +79,7 @@
 /// Observer of the control thread's state, called on that thread.
 pub trait TurnObserver: Send + std::fmt::Debug {
     /// Called after each turn, before the replies of that turn are sent.
-    fn on_turn(&mut self, node: &Node<FolderDisk>, now: Millis);
+    fn on_turn(&mut self, node: &Node<FolderDisk>, turn: &Turn, now: Millis);
 }
 
 /// Parameters of the control role.
--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -32,6 +32,8 @@
 use papayatray_core::id::ServiceId;
 use papayatray_core::id::VmId;
 use papayatray_state::node::Node;
+use papayatray_state::node::PlanUpdate;
+use papayatray_state::node::Turn;
 use papayatray_state::replica::ReplicaId;
 use papayatray_state::storage::FolderDisk;
 use papayatray_wire::peer::Cursor;
@@ -46,8 +48,11 @@
 
 mod evacuations;
 mod levels;
+mod plans;
 mod sync;
 
+use self::plans::PlanStore;
+
 /// Suspects retained from all entries: those in flight at half of the endpoints of a large
 /// deployment, should they crash at once.
 const MAX_SUSPECTS: usize = 4_096;
@@ -64,7 +69,6 @@
 #[derive(Clone, Debug, Default)]
 struct Applied {
     plan_version: PlanVersion,
-    plan: Option<Arc<Plan>>,
     rollouts: Arc<RolloutTable>,
     evacuations: Arc<EvacuationTable>,
     level: FormatLevel,
@@ -113,6 +117,7 @@
     data_centre: Option<DataCentre>,
     incarnation: Incarnation,
     inner: Mutex<Inner>,
+    plans: PlanStore,
     /// Notified when waiting sync requests have to be checked for updates.
     updated: Event,
 }
@@ -145,6 +150,7 @@
         Self {
             incarnation: Incarnation(wall),
             inner: Mutex::new(inner),
+            plans: PlanStore::default(),
             updated: Event::new(),
             clock,
             data_centre,
@@ -164,11 +170,21 @@
     }
 
     /// Puts a plan in force if it is newer than the current one, and informs the entries.
-    pub fn publish(&self, plan: &Plan) {
-        let is_changed = self.inner().applied.set_plan(plan);
-        if is_changed {
-            self.updated.notify(usize::MAX);
+    pub fn publish(&self, plan: Plan) {
+        self.apply_plans(&[PlanUpdate::Published(Arc::new(plan))]);
+        self.updated.notify(usize::MAX);
+    }
+
+    /// Stores plans that have come into force; returns whether one is newer than the current one.
+    fn apply_plans(&self, updates: &[PlanUpdate]) -> bool {
+        if updates.is_empty() {
+            return false;
         }
+        let version = self.plans.record(updates);
+        let mut inner = self.inner();
+        let is_newer = version > inner.applied.plan_version;
+        inner.applied.plan_version = version;
+        is_newer
     }
 
     /// Sets the end of the leader lease, or `None` if another replica leads.
@@ -210,16 +226,6 @@
     fn has_leader_lease(&self, now: Millis) -> bool {
         self.lease_end.is_some_and(|lease_end| now < lease_end)
     }
-
-    /// Stores a plan that is newer than the current one; returns whether it is.
-    fn set_plan(&mut self, plan: &Plan) -> bool {
-        let is_newer = self.plan.is_none() || plan.version > self.plan_version;
-        if is_newer {
-            self.plan_version = plan.version;
-            self.plan = Some(Arc::new(plan.clone()));
-        }
-        is_newer
-    }
 }
 
 /// Copies the state that the control thread has applied from the log into a [`ControlState`].
@@ -229,17 +235,15 @@
 }
 
 impl TurnObserver for ControlStateObserver {
-    fn on_turn(&mut self, node: &Node<FolderDisk>, now: Millis) {
+    fn on_turn(&mut self, node: &Node<FolderDisk>, turn: &Turn, now: Millis) {
         let machine = node.machine();
+        let has_new_plan = self.state.apply_plans(&turn.plans);
         let mut inner = self.state.inner();
         let applied = &mut inner.applied;
         let led_before = applied.has_leader_lease(now);
         applied.lease_end = node.replica().current_until(now);
         // Entries renew their evidence at the leader, so they must hear of a new one at once.
-        let mut is_changed = led_before != applied.has_leader_lease(now);
-        if let Some(publication) = machine.publication() {
-            is_changed |= applied.set_plan(&publication.plan);
-        }
+        let mut is_changed = has_new_plan || led_before != applied.has_leader_lease(now);
         if machine.rollouts().changes() > applied.rollouts.changes() {
             applied.rollouts = Arc::new(machine.rollouts().clone());
             is_changed = true;
--- a/papayatrayd/src/gateway/control_state/sync.rs
+++ b/papayatrayd/src/gateway/control_state/sync.rs
@@ -146,10 +146,7 @@
             versions.speeds = 0;
             versions.rate_statements = 0;
         }
-        let plan = applied
-            .plan
-            .clone()
-            .filter(|_| request.wants_plan && applied.plan_version > versions.plan);
+        let is_plan_due = request.wants_plan && applied.plan_version > versions.plan;
         let rollouts = Arc::clone(&applied.rollouts);
         let has_rollouts = rollouts.changes() > versions.rollouts;
         let evacuations = Arc::clone(&applied.evacuations);
@@ -165,6 +162,7 @@
             is_current,
             version: applied.plan_version,
             plan: None,
+            serves_pieces: true,
             endpoints: inner.updates_after(
                 versions.endpoints.number,
                 versions.heartbeats,
@@ -193,6 +191,7 @@
         } else {
             reply
         };
+        let plan = is_plan_due.then(|| self.plans.plan()).flatten();
         // Large parts are copied after the lock is released.
         SyncReply {
             plan: plan.map(|plan| Plan::clone(&plan)),
--- a/papayatrayd/src/gateway/hop/server.rs
+++ b/papayatrayd/src/gateway/hop/server.rs
@@ -187,7 +187,7 @@
 
     fn plan_limits(&self) -> CallerLimits {
         let table = self.gateway.route_table();
-        table.map_or_else(CallerLimits::default, |table| table.plan().limits)
+        table.map_or_else(CallerLimits::default, |table| table.limits())
     }
 }
 
--- a/papayatrayd/src/gateway/mod.rs
+++ b/papayatrayd/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod metrics;
 mod metrics_page;
 mod operator;
+mod plan_client;
 mod refusal;
 mod relay;
 mod routed_request;
--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -107,7 +107,7 @@
             .await;
         let kind = request.route.kind;
         let result = self
-            .forward_request(request, body, table.plan().limits, in_flight)
+            .forward_request(request, body, table.limits(), in_flight)
             .await;
         if let Err(refusal) = &result {
             self.gateway.metrics.count_request(kind, refusal.outcome());
@@ -167,7 +167,7 @@
 
     fn limits(&self) -> Limits {
         let table = self.gateway.route_table();
-        let limits = table.map_or_else(CallerLimits::default, |table| table.plan().limits);
+        let limits = table.map_or_else(CallerLimits::default, |table| table.limits());
         Limits {
             head: limits.head,
             idle: limits.idle_timeout,
--- a/papayatrayd/src/gateway/routed_request.rs
+++ b/papayatrayd/src/gateway/routed_request.rs
@@ -107,7 +107,7 @@
         check_model(&metadata, &route)?;
         let holder = organisation
             .as_ref()
-            .and_then(|id| table.plan().organisations.get(id));
+            .and_then(|id| table.organisations().get(id));
         let own_homes = holder.map(|holder| &holder.homes);
         let homes = Homes::common(&route.homes, own_homes.unwrap_or(&BTreeSet::new()));
         let shared_digest = metadata.shared_prefix_digest();
--- a/papayatrayd/src/gateway/rpc.rs
+++ b/papayatrayd/src/gateway/rpc.rs
@@ -9,6 +9,7 @@
 use jsonrpsee_types::error::INTERNAL_ERROR_CODE;
 use papayatray_wire::link::ClusterKey;
 use papayatray_wire::peer::Method;
+use papayatray_wire::peer::PieceRequest;
 use papayatray_wire::peer::ProposeRequest;
 use papayatray_wire::peer::SpreadRequest;
 use papayatray_wire::peer::SyncRequest;
@@ -67,6 +68,10 @@
         let sync: SyncRequest = single_param(&params)?;
         Ok::<_, ErrorObjectOwned>(state.sync(sync).await)
     })?;
+    module.register_method(Method::PlanPiece.as_str(), |params, state, _| {
+        let request: PieceRequest = single_param(&params)?;
+        Ok::<_, ErrorObjectOwned>(state.plan_piece(&request))
+    })?;
     module.register_async_method(Method::Spread.as_str(), |params, state, _| async move {
         let spread: SpreadRequest = single_param(&params)?;
         state.apply_spread(&spread);
@@ -100,7 +105,7 @@
     Ok(())
 }
 
-fn single_param<T>(params: &Params<'static>) -> Result<T, ErrorObjectOwned>
+fn single_param<T>(params: &Params<'_>) -> Result<T, ErrorObjectOwned>
 where
     T: DeserializeOwned,
 {
--- a/papayatrayd/src/gateway/settings.rs
+++ b/papayatrayd/src/gateway/settings.rs
@@ -112,6 +112,8 @@
 pub struct BoundSettings {
     /// Time within which a revoked key must stop working at every entry.
     pub revocation: DurationSetting,
+    /// Time within which an accepted plan must be in force at every entry.
+    pub in_force: DurationSetting,
     /// Interval of an endpoint's heartbeats.
     pub heartbeat: DurationSetting,
     /// Retries allowed per request of a service.
@@ -136,6 +138,7 @@
     fn default() -> Self {
         Self {
             revocation: DurationSetting(Millis::from_secs(5)),
+            in_force: DurationSetting(Millis::from_secs(4)),
             heartbeat: DurationSetting(Millis::from_secs(1)),
             retry_ratio: 0.2,
             retry_slack: 10.0,
@@ -153,6 +156,7 @@
     fn from(settings: BoundSettings) -> Self {
         Self {
             revocation: settings.revocation.0,
+            in_force: settings.in_force.0,
             heartbeat: settings.heartbeat.0,
             arrivals: ArrivalBound {
                 ratio: settings.retry_ratio,
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -71,6 +71,8 @@
 pub struct Bounds {
     /// Time within which a revoked key must stop working at every entry.
     pub revocation: Millis,
+    /// Time within which an accepted plan must be in force at every entry.
+    pub in_force: Millis,
     /// Interval of an endpoint's heartbeats.
     pub heartbeat: Millis,
     /// Retry budget of each service: limit on the attempts that reach endpoints, not counting the
@@ -222,7 +224,7 @@
             started_at: clock.now(),
             close_event: Arc::default(),
             table: RwLock::default(),
-            evidence: Mutex::new(PlanFreshness::new(bounds.revocation)),
+            evidence: Mutex::new(PlanFreshness::new(bounds.revocation, bounds.in_force)),
             fleet: Mutex::new(Fleet::new(bounds.heartbeat, bounds.cold)),
             rollouts: RwLock::default(),
             wall_offset: Mutex::default(),
@@ -259,10 +261,7 @@
     /// Applies the reply of the control replica at `control` to a sync request sent at `sent_at`.
     pub fn apply_sync(&self, control: &str, reply: SyncReply, sent_at: Millis) {
         if let Some(plan) = reply.plan {
-            let version = plan.version;
-            let took = self.clock.now().since(sent_at);
-            let is_applied = self.set_route_table(RouteTable::new(plan));
-            self.log_plan(control, version, is_applied, took);
+            self.put_in_force(RouteTable::new(plan), control, sent_at);
         }
         let now = self.clock.now();
         self.apply_cold_rules(now);
@@ -302,23 +301,32 @@
         }
         // The evidence is renewed last: it wakes waiting requests, which must see the plan, the
         // endpoints and the roll-outs of the same reply.
-        let applied = self.route_table().map(|table| table.version());
-        if reply.is_current && applied.is_some_and(|version| version >= reply.version) {
-            self.renew_evidence(sent_at);
+        if reply.is_current && reply.version > PlanVersion::default() {
+            lock(&self.evidence).confirm(reply.version, sent_at);
+            self.plan_confirmed.notify(usize::MAX);
         }
     }
 }
 
 /// # Plan and evidence
 impl Gateway {
-    /// Logs a plan that was received `took` after it was asked for; one that is not newer than the
-    /// plan in force was received in vain.
-    fn log_plan(&self, control: &str, version: PlanVersion, is_applied: bool, took: Millis) {
+    /// Puts a plan, of which the last part was asked for at `requested_at`, in force if it is newer
+    /// than the current one.
+    pub(super) fn put_in_force(&self, table: RouteTable, control: &str, requested_at: Millis) {
+        let version = table.version();
+        let is_applied = self.set_route_table(table);
         let name = if is_applied {
             "plan_applied"
         } else {
             "plan_duplicate"
         };
+        let now = self.clock.now();
+        let lag = {
+            let mut evidence = lock(&self.evidence);
+            let lag = evidence.lag(now);
+            evidence.apply(version);
+            lag
+        };
         self.metrics.count_event(name);
         event(
             Level::Info,
@@ -326,9 +334,12 @@
             &[
                 ("version", &version),
                 ("control", &control),
-                ("took_ms", &took.as_u64()),
+                ("took_ms", &now.since(requested_at).as_u64()),
+                ("lag_ms", &lag.as_u64()),
             ],
         );
+        self.apply_cold_rules(now);
+        self.plan_confirmed.notify(usize::MAX);
     }
 
     /// Returns the plan in force at this entry, or `None` before one was received.
@@ -349,12 +360,6 @@
         is_newer
     }
 
-    /// Renews the evidence that the plan is the newest, and wakes the requests that wait for it.
-    fn renew_evidence(&self, sent_at: Millis) {
-        lock(&self.evidence).renew(sent_at);
-        self.plan_confirmed.notify(usize::MAX);
-    }
-
     /// Returns the age of the evidence that the plan is the newest, if there is any.
     pub fn evidence_age(&self) -> Option<Millis> {
         lock(&self.evidence).age(self.clock.now())
@@ -366,6 +371,12 @@
         lock(&self.evidence).is_fresh(self.clock.now())
     }
 
+    /// Returns whether the entry has known for too long that a newer plan is in force to serve any
+    /// request by its own.
+    pub fn is_overdue(&self) -> bool {
+        lock(&self.evidence).is_overdue(self.clock.now())
+    }
+
     /// Returns whether the entry may be listed to callers.
     pub fn is_ready(&self) -> bool {
         self.shutdown_stage() == ShutdownStage::Serving
@@ -455,7 +466,7 @@
         let table = self.route_table();
         let connections = table
             .as_ref()
-            .and_then(|table| table.plan().services.get(service)?.connections);
+            .and_then(|table| table.services().get(service)?.connections);
         let entries = u32::try_from(self.entry_count()).unwrap_or(1);
         connections.map_or(u32::MAX, |limit| (limit / entries.max(1)).max(2))
     }
--- a/papayatrayd/src/gateway/state/statements.rs
+++ b/papayatrayd/src/gateway/state/statements.rs
@@ -92,7 +92,7 @@
         let Some(table) = self.route_table() else {
             return;
         };
-        let services = table.plan().services.iter();
+        let services = table.services().iter();
         let rules = services.filter_map(|(id, service)| Some((id.clone(), service.cold?)));
         self.fleet().set_cold_rules(rules.collect(), now);
     }
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -24,6 +24,7 @@
 use smol::Timer;
 use smol::future::FutureExt;
 
+use super::plan_client::PlanClient;
 use super::state::Gateway;
 use crate::observe::Level;
 use crate::observe::event;
@@ -42,6 +43,8 @@
 pub struct SyncClient {
     gateway: Arc<Gateway>,
     peers: Peers,
+    /// Receives the plan.
+    plan_client: Arc<PlanClient>,
     /// Control replicas that the entry syncs with, by address.
     replicas: Mutex<ReplicaTable>,
 }
@@ -81,10 +84,13 @@
     ///
     /// Both sides of each connection prove that they hold `key`.
     pub fn new(gateway: Arc<Gateway>, key: ClusterKey) -> Self {
-        let peers = Peers::new(gateway.tasks.clone(), key);
+        let peers = Peers::new(gateway.tasks.clone(), key.clone());
+        let plan_client = Arc::new(PlanClient::new(Arc::clone(&gateway), key));
+        gateway.tasks.spawn(Arc::clone(&plan_client).run());
         Self {
             gateway,
             peers,
+            plan_client,
             replicas: Mutex::default(),
         }
     }
@@ -155,7 +161,7 @@
             let replicas = self.replicas();
             (
                 replicas.role(address),
-                replicas.is_plan_source(address, plan, now),
+                !self.plan_client.has_sources() && replicas.is_plan_source(address, plan, now),
             )
         };
         // Loads and prefixes are exchanged through the leader alone.
@@ -250,17 +256,16 @@
         self.expand_hints(&mut reply);
         sync.record_reply(&reply);
         let now = self.gateway.clock.now();
-        self.replicas().record_reply(
-            address,
-            &ReplicaView {
-                is_leader: reply.is_current,
-                is_near: reply.data_centre.as_ref() == Some(&self.gateway.data_centre),
-                plan: reply.version,
-            },
-            now,
-        );
+        let view = ReplicaView {
+            is_leader: reply.is_current,
+            is_near: reply.data_centre.as_ref() == Some(&self.gateway.data_centre),
+            plan: reply.version,
+        };
+        self.replicas().record_reply(address, &view, now);
         let controls = reply.controls.clone();
+        let sends_pieces = reply.serves_pieces;
         self.gateway.apply_sync(address, reply, sent_at);
+        self.plan_client.record_reply(address, &view, sends_pieces);
         self.add_replicas(&controls);
     }
 }
--- a/papayatrayd/tests/gateway/bulk.rs
+++ b/papayatrayd/tests/gateway/bulk.rs
@@ -45,7 +45,7 @@
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
         let replica = Arc::new(ControlState::new(Arc::clone(&clock), None));
         replica.set_lease_end(Some(clock.now() + Millis::from_secs(3_600)));
-        replica.publish(&plan());
+        replica.publish(plan());
         let key = ClusterKey::new("secret of the deployment under test");
         let tasks = Tasks::new(2).unwrap();
         let listener = smol::block_on(smol::net::TcpListener::bind("127.0.0.1:0")).unwrap();
@@ -115,7 +115,7 @@
 #[test]
 fn plan_that_takes_longer_than_a_call_may_reaches_the_entry() {
     let site = Site::start(120_000);
-    site.replica.publish(&large_plan(2, 0));
+    site.replica.publish(large_plan(2, 0));
     site.wait_for("the large plan", |site| site.version() == 2);
 }
 
@@ -134,7 +134,7 @@
     }
     site.wait_for("the endpoints", |site| site.endpoints() == 2);
     let sent_before = site.link.sent();
-    site.replica.publish(&large_plan(2, 0));
+    site.replica.publish(large_plan(2, 0));
     site.wait_for("a part of the plan", |site| {
         site.link.sent() > sent_before + 4_000
     });
@@ -153,7 +153,7 @@
 fn entry_keeps_its_evidence_while_versions_of_a_large_plan_follow_each_other() {
     let site = Site::start(120_000);
     for version in 2..102 {
-        site.replica.publish(&large_plan(version, 1));
+        site.replica.publish(large_plan(version, 1));
         std::thread::sleep(Duration::from_millis(150));
         assert!(
             site.entry.gateway.has_fresh_evidence(),
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -243,6 +243,7 @@
         let address = listener.local_addr().unwrap();
         let bounds = Bounds {
             revocation: Millis::from_secs(5),
+            in_force: Millis::from_secs(4),
             heartbeat: Millis::from_secs(1),
             arrivals,
             exposure: 0.1,
