fix(gateway): refuse requests while the plan is known to be outdated for too long

An entry that had been told of a newer version and could not get it went on serving by its own: callers were served by a version that had been replaced 3.7 s before. An entry that hears nothing is not affected: whether it is outdated is not known, and evidence for keys bounds it as before. The new test fails without the check.

--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -27,6 +27,7 @@
 use super::refusal::Refusal;
 use super::routed_request::NO_ENDPOINT_RETRY_AFTER;
 use super::routed_request::RoutedRequest;
+use super::routed_request::outdated_plan_refusal;
 use super::routed_request::stale_plan_refusal;
 use super::server::Handler;
 use super::server::HandlerBody;
@@ -100,6 +101,9 @@
     ) -> Result<Response<HandlerBody>, Refusal> {
         self.gateway.wait_for_plan(metadata.deadline).await;
         let table = self.gateway.route_table().ok_or_else(stale_plan_refusal)?;
+        if self.gateway.is_overdue() {
+            return Err(outdated_plan_refusal());
+        }
         let request = RoutedRequest::new(&self.gateway, &table, head, metadata, received_at)?;
         let time_left = request.remaining(self.gateway.clock.now());
         self.gateway
--- a/papayatrayd/src/gateway/routed_request.rs
+++ b/papayatrayd/src/gateway/routed_request.rs
@@ -232,6 +232,14 @@
     )
 }
 
+/// Returns the refusal for the time while this entry knows that a newer plan is in force elsewhere.
+pub(super) const fn outdated_plan_refusal() -> Refusal {
+    Refusal::NotRun(
+        "the plan of this entry is outdated, and the newer one has not arrived",
+        STALE_RETRY_AFTER,
+    )
+}
+
 /// Rejects a request that names a model on a route whose models the gateway chooses.
 fn check_model(metadata: &RequestMetadata, route: &Route) -> Result<(), Refusal> {
     match &metadata.model {
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -381,6 +381,7 @@
     pub fn is_ready(&self) -> bool {
         self.shutdown_stage() == ShutdownStage::Serving
             && self.has_fresh_evidence()
+            && !self.is_overdue()
             && self.route_table().is_some()
     }
 }
--- a/papayatrayd/tests/gateway/updates.rs
+++ b/papayatrayd/tests/gateway/updates.rs
@@ -11,10 +11,16 @@
 
 use papayatray_core::clock::Clock;
 use papayatray_core::clock::Millis;
+use papayatray_core::gateway::plan::Plan;
+use papayatray_core::id::PlanVersion;
+use papayatray_wire::peer::SyncReply;
 use papayatrayd::gateway::Gateway;
 use papayatrayd::observe::SystemClock;
 
 use crate::endpoint::FakeEndpoint;
+use crate::endpoint::Step;
+use crate::endpoint::response;
+use crate::rig::AdvancedClock;
 use crate::rig::Rig;
 use crate::rig::plan;
 
@@ -95,3 +101,38 @@
     assert!(!counts.is_empty(), "no observation was made");
     assert!(counts.iter().all(|count| *count == 1), "{counts:?}");
 }
+
+/// Guards against an entry that serves by a plan that it has known to be outdated since long ago.
+#[test]
+fn requests_are_refused_while_a_newer_plan_is_overdue() {
+    let fake =
+        FakeEndpoint::start(|_, request| vec![Step::Send(response(request, "200 OK", "done"))]);
+    let clock = Arc::new(AdvancedClock::default());
+    let rig = Rig::with_clock(Arc::clone(&clock) as Arc<dyn Clock>);
+    rig.apply_update(plan(), &[&fake]);
+    let name_newer = || {
+        let reply = SyncReply {
+            is_current: true,
+            version: PlanVersion(2),
+            ..SyncReply::default()
+        };
+        rig.gateway.apply_sync("control", reply, clock.now());
+    };
+    name_newer();
+    // The bound of the test entry is 4 s.
+    clock.advance(Millis::new(3_000));
+    name_newer();
+    assert_eq!(rig.request("/safe/", "").status, 200);
+    clock.advance(Millis::new(600));
+    name_newer();
+    let refused = rig.request("/safe/", "");
+    assert_eq!(refused.status, 503);
+    assert!(refused.retry_after() > 0.0);
+    assert!(!rig.gateway.is_ready());
+    let newer = Plan {
+        version: PlanVersion(2),
+        ..plan()
+    };
+    rig.apply_update(newer, &[&fake]);
+    assert_eq!(rig.request("/safe/", "").status, 200);
+}
