test(bench): bytes and processor time of a plan, and of a change of one route

New table 'plans', for 1,400 and 10,000 routes: the whole plan as text, as sent before, and in pieces; a change of one route; recording a version at a replica; handing a plan to the leader.

--- a/papayatray_bench/src/main.rs
+++ b/papayatray_bench/src/main.rs
@@ -6,6 +6,7 @@
 mod daemons;
 mod decisions;
 mod log;
+mod plans;
 mod plot;
 mod propagation;
 mod relay;
@@ -26,7 +27,7 @@
         ///
         /// Exit codes: 0 all bounds hold; 1 a bound is violated or a run failed.
         cmd bench {
-            /// Benchmark to run: decisions, releases (a part of decisions), relay, idle, log, recovery, propagation, state, many,
+            /// Benchmark to run: decisions, releases (a part of decisions), relay, idle, log, plans, recovery, propagation, state, many,
             /// spread, failover or all (default).
             optional name: String
             /// File to which each measure is appended as a JSON line.
@@ -89,6 +90,7 @@
         "relay" => relay::run(report).await?,
         "idle" => daemons::idle(report).await?,
         "log" => log::run(report)?,
+        "plans" => plans::run(report)?,
         "recovery" => state::recovery(report)?,
         "propagation" => propagation::run(report).await?,
         "state" => state::memory(report)?,
@@ -101,6 +103,7 @@
             decisions::run(report);
             state::recovery(report)?;
             log::run(report)?;
+            plans::run(report)?;
             propagation::run(report).await?;
             daemons::idle(report).await?;
             serving::many(report).await?;
