fix(gateway): a sync is not thrown away again and again before its reply arrives

Callers of an entry behind a busy link are refused for want of evidence, although the leader answers every call: (1) each change at the entry (reachability, shutdown) abandons the call in flight, so changes that follow each other faster than replies arrive let none arrive; (2) a call fails one second after its poll, a handshake after one second, and a new connection begins, so on a link on which replies take longer none ever arrives. Now a call that follows an abandoned one runs to its end; time-outs double with each failure in a row up to 4 s (handshake 3 s), and the sync's is at least twice the delay of the last reply. The first time-outs are as before, so silent connections are noticed as early.

--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -22,6 +22,7 @@
 use papayatray_wire::peer::SyncReply;
 use papayatray_wire::peer::SyncRequest;
 use smol::Timer;
+use smol::future;
 use smol::future::FutureExt;
 
 use super::plan_client::PlanClient;
@@ -30,8 +31,14 @@
 use crate::observe::event;
 use crate::peer::Peers;
 
-/// Time-out of a sync request, beyond the delay of its long poll.
-const SYNC_TIMEOUT: Millis = Millis::new(1_000);
+/// Shortest time-out of a sync request, beyond the delay of its long poll. It doubles with each failure in a
+/// row, and is longer on a link on which replies take long, so that a busy link delays the sync and does not
+/// prevent it.
+const MIN_SYNC_TIMEOUT: Millis = Millis::new(1_000);
+/// Longest time-out of a sync request, beyond the delay of its long poll.
+const MAX_SYNC_TIMEOUT: Millis = Millis::new(4_000);
+/// Multiple of the delay of the last reply from which on the next one is late.
+const LATE_FACTOR: u64 = 2;
 /// Back-off after the first failed call; doubles with each further failure.
 const MIN_BACKOFF: Millis = Millis::new(100);
 /// Longest back-off after a failed call.
@@ -77,6 +84,13 @@
     crashes_acknowledged: u64,
     is_reachable: bool,
     backoff: Millis,
+    /// Time that the last reply took beyond its long poll.
+    reply_delay: Millis,
+    /// Calls that failed in a row.
+    failures: u32,
+    /// Whether the last call was abandoned for a change at this entry. The next one is not, as calls would
+    /// never end while changes follow each other faster than replies arrive.
+    was_abandoned: bool,
 }
 
 impl SyncClient {
@@ -118,7 +132,7 @@
         loop {
             let sent_at = self.gateway.clock.now();
             let request = self.sync_request(&address, &sync, sent_at);
-            let timeout = request.poll_timeout + SYNC_TIMEOUT;
+            let timeout = request.poll_timeout + sync.timeout();
             let sync_needed = self.gateway.sync_needed.listen();
             let call = async {
                 let reply =
@@ -127,8 +141,13 @@
                 Some(reply.await)
             };
             // A change at this entry abandons the long poll: the next request reports it at once.
+            let may_abandon = !sync.was_abandoned;
             let local_change = async {
-                sync_needed.await;
+                if may_abandon {
+                    sync_needed.await;
+                } else {
+                    future::pending::<()>().await;
+                }
                 None
             };
             match call.or(local_change).await {
@@ -137,8 +156,10 @@
                     sync.departures_acknowledged = request.departures.last_number;
                     sync.crashes_acknowledged = request.crashes.last_number;
                     sync.rate_statements_acknowledged = request.rate_statements.last_number;
+                    let poll_end = sent_at + request.poll_timeout;
+                    let reply_delay = self.gateway.clock.now().since(poll_end);
                     self.apply_reply(&address, &mut sync, reply, sent_at);
-                    sync.record_success(&address);
+                    sync.record_success(&address, reply_delay);
                 }
                 Some(Err(error)) => {
                     self.gateway.metrics.count_event("sync_failed");
@@ -147,7 +168,10 @@
                     Timer::after(sync.backoff.to_duration()).await;
                     sync.backoff = Millis::new(sync.backoff.as_u64() * 2).min(MAX_BACKOFF);
                 }
-                None => self.gateway.metrics.count_event("sync_abandoned"),
+                None => {
+                    self.gateway.metrics.count_event("sync_abandoned");
+                    sync.was_abandoned = true;
+                }
             }
         }
     }
@@ -295,7 +319,18 @@
         }
     }
 
-    fn record_success(&mut self, address: &str) {
+    /// Returns the time-out of the next call, beyond the delay of its long poll.
+    fn timeout(&self) -> Millis {
+        let late = Millis::new(self.reply_delay.as_u64() * LATE_FACTOR);
+        let factor = 1_u64 << self.failures.min(8);
+        let timeout = Millis::new(late.max(MIN_SYNC_TIMEOUT).as_u64() * factor);
+        timeout.min(MAX_SYNC_TIMEOUT)
+    }
+
+    fn record_success(&mut self, address: &str, reply_delay: Millis) {
+        self.reply_delay = reply_delay;
+        self.failures = 0;
+        self.was_abandoned = false;
         self.backoff = MIN_BACKOFF;
         if !self.is_reachable {
             self.is_reachable = true;
@@ -304,6 +339,8 @@
     }
 
     fn record_failure(&mut self, address: &str, error: &CallError) {
+        self.failures = self.failures.saturating_add(1);
+        self.was_abandoned = false;
         if self.is_reachable {
             self.is_reachable = false;
             event(
--- a/papayatrayd/src/peer/client.rs
+++ b/papayatrayd/src/peer/client.rs
@@ -32,8 +32,12 @@
 use super::dial::dial;
 use crate::tasks::Tasks;
 
-/// Time-out for connecting, including the handshake.
+/// Time-out for connecting, without the handshake.
 const CONNECT_TIMEOUT: Millis = Millis::new(1_000);
+/// Time-out of the first handshake; it doubles with each failure in a row.
+const MIN_HANDSHAKE_TIMEOUT: Millis = Millis::new(1_000);
+/// Longest time-out of a handshake, as at the server.
+const MAX_HANDSHAKE_TIMEOUT: Millis = Millis::new(3_000);
 /// Time-out of one write.
 const WRITE_TIMEOUT: Millis = Millis::new(2_000);
 /// Back-off between two attempts to connect.
@@ -195,10 +199,16 @@
 
 impl Worker {
     async fn run(self) {
+        let mut handshake_timeout = MIN_HANDSHAKE_TIMEOUT;
         while let Ok(first) = self.outgoing.recv().await {
-            match self.connect().await {
-                Ok((sender, receiver)) => self.run_connection(first, sender, receiver).await,
+            match self.connect(handshake_timeout).await {
+                Ok((sender, receiver)) => {
+                    handshake_timeout = MIN_HANDSHAKE_TIMEOUT;
+                    self.run_connection(first, sender, receiver).await;
+                }
                 Err(error) => {
+                    let doubled = Millis::new(handshake_timeout.as_u64() * 2);
+                    handshake_timeout = doubled.min(MAX_HANDSHAKE_TIMEOUT);
                     let error = CallError::Unreachable(error.to_string());
                     fail(first, &error);
                     while let Ok(next) = self.outgoing.try_recv() {
@@ -210,16 +220,17 @@
         }
     }
 
-    async fn connect(&self) -> Result<(link::Sender, link::Receiver), LinkError> {
+    async fn connect(
+        &self,
+        handshake_timeout: Millis,
+    ) -> Result<(link::Sender, link::Receiver), LinkError> {
         let address: SocketAddr = self
             .address
             .parse()
             .map_err(|_bad| LinkError::Malformed(format!("address {}", self.address)))?;
-        let connecting = async {
-            let stream = dial(address).await?;
-            link::connect(stream, &self.key).await
-        };
-        with_timeout(CONNECT_TIMEOUT, connecting).await
+        let dialing = async { Ok(dial(address).await?) };
+        let stream = with_timeout(CONNECT_TIMEOUT, dialing).await?;
+        with_timeout(handshake_timeout, link::connect(stream, &self.key)).await
     }
 
     /// Transfers frames until the connection fails or is found to be stalled.
--- a/papayatrayd/tests/gateway/bulk.rs
+++ b/papayatrayd/tests/gateway/bulk.rs
@@ -14,6 +14,7 @@
 use papayatray_wire::link::ClusterKey;
 use papayatray_wire::peer::Deregistration;
 use papayatrayd::gateway::ControlState;
+use papayatrayd::gateway::ShutdownStage;
 use papayatrayd::gateway::SyncClient;
 use papayatrayd::gateway::serve_entries;
 use papayatrayd::observe::SystemClock;
@@ -31,6 +32,9 @@
 /// Time within which what must happen at all has to happen.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Time after which evidence has run out, of the bound for revoked keys of the test entry.
+const EVIDENCE_TIME: Duration = Duration::from_millis(4_600);
+
 /// Entry that syncs with a leading replica over a narrow link.
 struct Site {
     entry: Rig,
@@ -163,3 +167,28 @@
     }
     site.wait_for("the last plan", |site| site.version() == 101);
 }
+
+/// A reply takes longer than the time between two changes, each of which the entry reports at once.
+#[test]
+fn entry_keeps_its_evidence_while_changes_of_its_own_follow_each_other() {
+    let site = Site::start(30_000);
+    let started_at = Instant::now();
+    while started_at.elapsed() < EVIDENCE_TIME {
+        // Stays at this stage, and reports it.
+        site.entry
+            .gateway
+            .set_shutdown_stage(ShutdownStage::Serving);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(site.entry.gateway.has_fresh_evidence());
+}
+
+/// Each reply takes longer than the first time-out of a call.
+#[test]
+fn entry_syncs_over_a_link_that_is_slower_than_the_time_out() {
+    let site = Site::start(1_000_000);
+    let age = |site: &Site| site.entry.gateway.evidence_age().unwrap();
+    site.link.set_delay(Duration::from_millis(1_400));
+    std::thread::sleep(EVIDENCE_TIME);
+    site.wait_for("evidence", |site| age(site) < Millis::new(4_500));
+}
--- a/papayatrayd/tests/gateway/narrow_link.rs
+++ b/papayatrayd/tests/gateway/narrow_link.rs
@@ -9,6 +9,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -30,6 +31,8 @@
     rate: usize,
     /// Held while a packet is on the link.
     occupied: Mutex<()>,
+    /// Milliseconds by which each packet is delayed besides.
+    delay: AtomicU64,
     sent: AtomicUsize,
 }
 
@@ -41,6 +44,7 @@
         let state = Arc::new(LinkState {
             rate,
             occupied: Mutex::default(),
+            delay: AtomicU64::new(0),
             sent: AtomicUsize::new(0),
         });
         let shared = Arc::clone(&state);
@@ -59,6 +63,12 @@
         Self { address, state }
     }
 
+    /// Delays all packets from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        let millis = u64::try_from(delay.as_millis()).unwrap();
+        self.state.delay.store(millis, Ordering::Relaxed);
+    }
+
     /// Returns the number of bytes carried so far.
     pub fn sent(&self) -> usize {
         self.state.sent.load(Ordering::Relaxed)
@@ -72,6 +82,8 @@
         std::thread::sleep(Duration::from_secs_f64(bytes as f64 / self.rate as f64));
         self.sent.fetch_add(bytes, Ordering::Relaxed);
         drop(guard);
+        let delay = self.delay.load(Ordering::Relaxed);
+        std::thread::sleep(Duration::from_millis(delay));
     }
 }
 
