fix(gateway): send many changed endpoints in several replies

Now a reply holds 128 of them, the cursor leads to the others, and each is sent once. At today's deployments (84 to 144 endpoints) one or two replies. The new test fails on the code before (300 in one reply). Lists of entries and findings on crashes are still sent whole.

--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -58,6 +58,8 @@
 const MAX_SUSPECTS: usize = 4_096;
 /// Deregistrations retained for entries that sync late.
 const MAX_DEREGISTRATIONS: usize = 1_024;
+/// Changed endpoints in one reply, which takes a few hundred bytes for each.
+const MAX_ENDPOINTS_PER_REPLY: usize = 128;
 /// Cached-prefix updates retained for entries that sync late; covers some seconds of all entries'
 /// requests.
 const MAX_PREFIX_UPDATES: usize = 1_024;
@@ -425,18 +427,31 @@
     }
 
     /// Returns the changes, deregistrations and heartbeats with higher numbers than those seen.
+    ///
+    /// Of many changes, these are the first ones, and the cursor leads to the others.
     fn updates_after(
         &self,
         last_seen: u64,
         heartbeats_seen: u64,
         incarnation: Incarnation,
     ) -> EndpointUpdates {
-        let changed = self
+        let mut pending: Vec<(u64, &EndpointId)> = self
             .change_numbers
             .iter()
-            .filter(|(_, number)| **number > last_seen);
-        let changed = changed.filter_map(|(id, _)| self.directory.get(id));
-        let deregistered = self.deregistrations.iter().filter(|(n, _)| *n > last_seen);
+            .filter(|(_, number)| **number > last_seen)
+            .map(|(id, number)| (*number, id))
+            .collect();
+        let mut last_number = self.last_number;
+        if pending.len() > MAX_ENDPOINTS_PER_REPLY {
+            pending.sort_unstable();
+            pending.truncate(MAX_ENDPOINTS_PER_REPLY);
+            last_number = pending.last().map_or(last_number, |(number, _)| *number);
+        }
+        let changed = pending.iter().filter_map(|(_, id)| self.directory.get(id));
+        let deregistered = self
+            .deregistrations
+            .iter()
+            .filter(|(number, _)| (last_seen + 1..=last_number).contains(number));
         let renewed = self
             .heartbeat_numbers
             .iter()
@@ -444,7 +459,7 @@
         EndpointUpdates {
             cursor: Cursor {
                 incarnation,
-                number: self.last_number,
+                number: last_number,
             },
             changed: changed.cloned().collect(),
             deregistered: deregistered
--- a/papayatrayd/tests/gateway/sync.rs
+++ b/papayatrayd/tests/gateway/sync.rs
@@ -204,3 +204,34 @@
     ));
     assert!(reply.is_some());
 }
+
+/// Guards against a first reply of megabytes, behind which an entry hears of nothing else.
+#[test]
+fn many_endpoints_are_sent_in_several_replies_and_each_once() {
+    const ENDPOINTS: usize = 300;
+    let replica = replica();
+    let fake = FakeEndpoint::start(|_, _| Vec::new());
+    for index in 0..ENDPOINTS {
+        let mut endpoint = announcement(index, &fake);
+        endpoint.address = format!("10.0.{}.{}:80", index / 250, index % 250);
+        replica.announce(&endpoint);
+    }
+    replica.deregister(&Deregistration {
+        id: announcement(7, &fake).id,
+        incarnation: None,
+    });
+    let mut reply = sync(&replica, first_request("vm-1"));
+    let mut sent = vec![reply.endpoints.changed.len()];
+    let mut ids: BTreeSet<EndpointId> = BTreeSet::new();
+    let mut deregistered = 0;
+    while !reply.endpoints.changed.is_empty() {
+        ids.extend(reply.endpoints.changed.iter().map(|e| e.id.clone()));
+        deregistered += reply.endpoints.deregistered.len();
+        reply = sync(&replica, next_request("vm-1", &reply));
+        sent.push(reply.endpoints.changed.len());
+    }
+    assert_eq!(ids.len(), ENDPOINTS);
+    assert_eq!(deregistered, 1);
+    assert_eq!(sent.iter().sum::<usize>(), ENDPOINTS, "{sent:?}");
+    assert!(sent.iter().all(|sent| *sent <= 128), "{sent:?}");
+}
