fix(state): log plans in compressed form, so that leaders keep their lead under large ones

Operators who publish plans of 10,000 routes got no acknowledgement for over three seconds, and each version cost an election: the call to the leader had 11.8 MB, the log entry 6 MB, and the heartbeats between the replicas waited while it was decoded, encoded for each replica, sent and stored. Format level 2 adds PublishPacked, the same text compressed once by the replica that the operator has called; the leader raises the level by itself once all processes read it.

Two expectations of tests that name the first level that this build does not read go from 2 to 3; what they check is the same. A new test compares the state from a packed entry with that from a text.

--- a/papayatray_bench/src/plans.rs
+++ b/papayatray_bench/src/plans.rs
@@ -21,11 +21,9 @@
 use papayatray_core::id::ServiceId;
 use papayatray_state::machine::Command;
 use papayatray_state::plan_document::PlanDocument;
-use papayatray_wire::peer::Method;
 use papayatray_wire::peer::PIECE_BYTES;
 use papayatray_wire::peer::PieceReply;
 use papayatray_wire::peer::ProposeRequest;
-use papayatray_wire::peer::encode_call;
 
 use crate::report::Report;
 
@@ -78,18 +76,18 @@
         );
         pieces(&log, &mut copy)?.report(report, &format!("one_route_{routes}"));
 
-        let started_at = Instant::now();
-        let call = propose(&second)?;
-        report.add(
-            "plans",
-            &format!("propose_{routes}_ms"),
-            elapsed_ms(started_at),
-        );
-        report.add(
-            "plans",
-            &format!("propose_{routes}_bytes"),
-            call.len() as f64,
-        );
+        let publication = PublishedPlan {
+            plan: Plan::clone(&second),
+            source: serde_json::to_string(&*second)?,
+        };
+        let document = PlanDocument::try_from(publication)?;
+        let text = document.clone();
+        propose(report, &format!("propose_text_{routes}"), || {
+            Command::PublishDocument(Box::new(text))
+        })?;
+        propose(report, &format!("propose_packed_{routes}"), || {
+            Command::PublishPacked(Box::new(document.into()))
+        })?;
     }
     Ok(())
 }
@@ -130,19 +128,29 @@
     }
 }
 
-/// Encodes the call by which a replica hands a plan to the leader.
-fn propose(plan: &Plan) -> Result<String, Box<dyn Error>> {
-    let publication = PublishedPlan {
-        plan: plan.clone(),
-        source: serde_json::to_string(plan)?,
-    };
-    let document = PlanDocument::try_from(publication)?;
-    let command = Command::PublishDocument(Box::new(document));
-    Ok(encode_call(
-        Method::Propose,
-        &ProposeRequest { command },
-        1,
-    )?)
+/// Measures the call by which a replica hands a plan to the leader, and which the leader decodes.
+fn propose<F>(report: &mut Report, measure: &str, command: F) -> Result<(), Box<dyn Error>>
+where
+    F: FnOnce() -> Command,
+{
+    let started_at = Instant::now();
+    let request = ProposeRequest { command: command() };
+    let text = serde_json::to_string(&request)?;
+    report.add(
+        "plans",
+        &format!("{measure}_replica_ms"),
+        elapsed_ms(started_at),
+    );
+    report.add("plans", &format!("{measure}_bytes"), text.len() as f64);
+    let started_at = Instant::now();
+    let received: ProposeRequest = serde_json::from_str(&text)?;
+    report.add(
+        "plans",
+        &format!("{measure}_leader_ms"),
+        elapsed_ms(started_at),
+    );
+    drop(received);
+    Ok(())
 }
 
 fn elapsed_ms(started_at: Instant) -> f64 {
--- a/papayatray_core/src/format.rs
+++ b/papayatray_core/src/format.rs
@@ -17,7 +17,7 @@
 /// Set of forms that log entries and snapshots may have; each level includes the lower ones.
 ///
 /// Level 0 is what commit fbb4f3c reads and writes. Level 1 adds evacuations, plans as JSON text, and the
-/// extension of snapshots.
+/// extension of snapshots. Level 2 adds compressed plans.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -28,9 +28,11 @@
     /// Level of processes that state none.
     pub const BASE: Self = Self(0);
     /// Highest level that this build reads and writes.
-    pub const HIGHEST: Self = Self(1);
+    pub const HIGHEST: Self = Self(2);
     /// Level from which on plans are logged as JSON text.
     pub const PLAN_DOCUMENTS: Self = Self(1);
+    /// Level from which on plans are logged in compressed form.
+    pub const PACKED_PLANS: Self = Self(2);
     /// Level from which on evacuations are logged.
     pub const EVACUATIONS: Self = Self(1);
 
--- a/papayatray_core/src/gateway/plan_items.rs
+++ b/papayatray_core/src/gateway/plan_items.rs
@@ -2,6 +2,7 @@
 //!
 //! Load: plans of thousands of routes of which a change concerns a few.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -32,8 +33,7 @@
 impl ItemKey {
     /// Returns the key of a route.
     pub fn of_route(route: &Route) -> Self {
-        let host = route.host.to_ascii_lowercase();
-        Self::Route(host.into(), route.prefix.as_str().into())
+        Self::Route(lower_case(&route.host).into(), route.prefix.as_str().into())
     }
 }
 
@@ -177,11 +177,20 @@
 
 /// Returns the routes by host, in lower case, and prefix; of routes that differ only in the case of their
 /// host, the last one counts.
-fn routes_by_key(plan: &Plan) -> BTreeMap<(String, &str), &Route> {
+fn routes_by_key(plan: &Plan) -> BTreeMap<(Cow<'_, str>, &str), &Route> {
     let routes = plan.routes.iter();
     let keyed = routes.map(|route| {
-        let host = route.host.to_ascii_lowercase();
+        let host = lower_case(&route.host);
         ((host, route.prefix.as_str()), route)
     });
     keyed.collect()
 }
+
+/// Returns the text in lower case, without a copy if it is already.
+fn lower_case(text: &str) -> Cow<'_, str> {
+    if text.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        Cow::Owned(text.to_ascii_lowercase())
+    } else {
+        Cow::Borrowed(text)
+    }
+}
--- a/papayatray_state/src/lib.rs
+++ b/papayatray_state/src/lib.rs
@@ -4,8 +4,10 @@
 //! behind a trait for disks. The [`machine`] applies committed commands. A [`node`] combines the
 //! three.
 
+pub mod compression;
 pub mod machine;
 pub mod node;
+pub mod packed_document;
 pub mod plan_document;
 mod plan_form;
 pub mod replica;
--- a/papayatray_state/src/machine.rs
+++ b/papayatray_state/src/machine.rs
@@ -33,6 +33,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::packed_document::PackedDocument;
 use crate::plan_document::PlanDocument;
 use crate::snapshot_extension::SnapshotExtension;
 use crate::snapshot_extension::StateError;
@@ -114,6 +115,8 @@
     BeginEvacuation(DataCentre),
     /// Revokes the order of [`Command::BeginEvacuation`].
     FinishEvacuation(DataCentre),
+    /// Publishes a plan like [`Command::Publish`], as compressed JSON text.
+    PublishPacked(Box<PackedDocument>),
 }
 
 impl Command {
@@ -121,6 +124,7 @@
     pub const fn required_level(&self) -> FormatLevel {
         match self {
             Self::PublishDocument(_) => FormatLevel::PLAN_DOCUMENTS,
+            Self::PublishPacked(_) => FormatLevel::PACKED_PLANS,
             Self::BeginEvacuation(_) | Self::FinishEvacuation(_) => FormatLevel::EVACUATIONS,
             // The leader proposes a raise only once all replicas can decode it.
             _ => FormatLevel::BASE,
@@ -275,6 +279,10 @@
                 let text = Some(document.text());
                 Reply::Published(self.publish(document.publication(), text))
             }
+            Command::PublishPacked(document) => {
+                let text = Some(document.text());
+                Reply::Published(self.publish(document.publication(), text))
+            }
             Command::BeginEvacuation(data_centre) => {
                 self.extension.evacuations.begin(data_centre, now);
                 Reply::Done
--- a/papayatray_state/src/plan_document.rs
+++ b/papayatray_state/src/plan_document.rs
@@ -16,11 +16,11 @@
 
 /// Form of a [`PlanDocument`] in the log; the order of the fields must stay.
 #[derive(Serialize, Deserialize)]
-struct DocumentForm {
+pub(crate) struct DocumentForm {
     /// The plan as JSON text.
-    plan: String,
+    pub(crate) plan: String,
     /// Text that the publisher sent.
-    source: String,
+    pub(crate) source: String,
 }
 
 impl PlanDocument {
--- a/papayatray_state/tests/state/formats.rs
+++ b/papayatray_state/tests/state/formats.rs
@@ -186,13 +186,13 @@
     let state = machine_of_level_1().to_state().unwrap();
     let (_, rest): (StateMachine, _) = postcard::take_from_bytes(&state).unwrap();
     let mut later = state[..state.len() - rest.len()].to_vec();
-    later.extend(b"{\"level\":2,\"unknown\":[]}");
+    later.extend(b"{\"level\":3,\"unknown\":[]}");
     let error = StateMachine::from_state(&later).unwrap_err();
     assert!(
         matches!(
             error,
             StateError::Level {
-                lacks: FormatLevel(2),
+                lacks: FormatLevel(3),
                 ..
             }
         ),
@@ -231,3 +231,31 @@
 fn plan_of_today_fits_the_binary_form() {
     assert!(fits_binary_form(&publication()));
 }
+
+/// Guards against log entries of megabytes, behind which the heartbeats between replicas wait.
+#[test]
+fn log_entry_of_a_large_plan_is_compressed_and_yields_the_same_state() {
+    let mut large = publication();
+    let first = large.plan.routes[0].clone();
+    large.plan.routes = (0..2_000)
+        .map(|number| Route {
+            prefix: format!("/{:x}/", number * 7_919),
+            ..first.clone()
+        })
+        .collect();
+    large.source = serde_json::to_string(&large.plan).unwrap();
+    let document = PlanDocument::try_from(large).unwrap();
+    let at = Millis::new(1_700_000_001_000);
+    let [text, packed] = [
+        Command::PublishDocument(Box::new(document.clone())),
+        Command::PublishPacked(Box::new(document.into())),
+    ]
+    .map(|command| postcard::to_stdvec(&TimestampedCommand { at, command }).unwrap());
+    assert!(packed.len() * 10 < text.len(), "{} bytes", packed.len());
+    let states = [text, packed].map(|entry| {
+        let mut machine = StateMachine::default();
+        machine.apply(&postcard::from_bytes(&entry).unwrap());
+        machine
+    });
+    assert_eq!(states[0], states[1]);
+}
--- a/papayatray_wire/src/peer/plan.rs
+++ b/papayatray_wire/src/peer/plan.rs
@@ -2,18 +2,15 @@
 //!
 //! Load: plans of thousands of routes for hundreds of entries behind narrow links.
 
-use std::io::Read;
-use std::io::Write;
-
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use displaydoc::Display;
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
 use papayatray_core::gateway::plan_items::ItemDigest;
 use papayatray_core::gateway::plan_log::PlanCursor;
 use papayatray_core::gateway::plan_log::PlanPiece;
+use papayatray_state::compression::Effort;
+use papayatray_state::compression::compress;
+use papayatray_state::compression::decompress;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -30,8 +27,6 @@
     Base64(base64::DecodeError),
     /// the piece cannot be decompressed: {0}
     Compression(std::io::Error),
-    /// the piece is larger than 16 MiB
-    TooLarge,
 }
 
 impl std::error::Error for PieceError {}
@@ -61,7 +56,7 @@
     fn from(piece: PlanPiece) -> Self {
         Self {
             is_restart: piece.is_restart,
-            content: STANDARD_NO_PAD.encode(compress(piece.text.as_bytes())),
+            content: STANDARD_NO_PAD.encode(compress(&piece.text, Effort::Size)),
             cursor: piece.cursor,
             digest: piece.digest,
         }
@@ -75,14 +70,7 @@
         let bytes = STANDARD_NO_PAD
             .decode(&reply.content)
             .map_err(PieceError::Base64)?;
-        let mut text = String::new();
-        let mut limited = DeflateDecoder::new(bytes.as_slice()).take(MAX_TEXT_BYTES + 1);
-        let size = limited
-            .read_to_string(&mut text)
-            .map_err(PieceError::Compression)?;
-        if size as u64 > MAX_TEXT_BYTES {
-            return Err(PieceError::TooLarge);
-        }
+        let text = decompress(&bytes, MAX_TEXT_BYTES).map_err(PieceError::Compression)?;
         Ok(Self {
             is_restart: reply.is_restart,
             text,
@@ -91,12 +79,3 @@
         })
     }
 }
-
-/// Compresses bytes; writing to memory cannot fail.
-fn compress(bytes: &[u8]) -> Vec<u8> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
-    let written = encoder.write_all(bytes);
-    written
-        .and_then(|()| encoder.finish())
-        .unwrap_or_else(|error| unreachable!("{error}"))
-}
--- a/papayatrayd/src/gateway/operator.rs
+++ b/papayatrayd/src/gateway/operator.rs
@@ -194,6 +194,9 @@
             event(Level::Error, "plan_not_encoded", &[("error", &error)]);
             OperatorError::Unavailable
         })?;
+        if self.state.level() >= FormatLevel::PACKED_PLANS {
+            return Ok(Command::PublishPacked(Box::new(document.into())));
+        }
         let command = Command::PublishDocument(Box::new(document));
         self.check_level("publish", &command)?;
         Ok(command)
