fix(gateway): an entry does not wait for a stuck replica as long as versions follow each other

They count from the first version that the entry lacks now, and a replica that does not answer a sync is not waited for.

--- a/papayatray_core/src/gateway/piece_sources.rs
+++ b/papayatray_core/src/gateway/piece_sources.rs
@@ -20,6 +20,9 @@
 /// Longest time-out of a call for a piece.
 const MAX_TIMEOUT: Millis = Millis::new(4_000);
 
+/// Versions whose first naming is remembered.
+const MAX_NAMED: usize = 64;
+
 /// What an entry does next to bring its plan up to date.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextPiece<'a> {
@@ -42,8 +45,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PieceSources {
     sources: BTreeMap<String, Source>,
-    /// Newest plan that a replica has named, and when it was named first.
-    newest_plan: (PlanVersion, Millis),
+    /// Versions that the entry lacked when it last decided, and when each was named first.
+    named: BTreeMap<PlanVersion, Millis>,
     /// Calls for a piece that failed in a row.
     failures: u32,
 }
@@ -67,19 +70,26 @@
         };
         let source = self.sources.entry(address.to_owned()).or_insert(new);
         source.view = *view;
-        if view.plan > self.newest_plan.0 {
-            self.newest_plan = (view.plan, now);
+        let newest = self.named.last_key_value();
+        let is_new = newest.is_none_or(|(version, _)| view.plan > *version);
+        if is_new && self.named.len() < MAX_NAMED {
+            self.named.insert(view.plan, now);
         }
     }
 
-    /// Records that a call for a piece failed.
-    pub fn record_failure(&mut self, address: &str, now: Millis) {
-        self.failures = self.failures.saturating_add(1);
+    /// Records that a replica does not answer at present.
+    pub fn avoid(&mut self, address: &str, now: Millis) {
         if let Some(source) = self.sources.get_mut(address) {
             source.avoided_until = now + AVOIDED_TIME;
         }
     }
 
+    /// Records that a call for a piece failed.
+    pub fn record_failure(&mut self, address: &str, now: Millis) {
+        self.failures = self.failures.saturating_add(1);
+        self.avoid(address, now);
+    }
+
     /// Records that a piece was received.
     pub const fn record_success(&mut self) {
         self.failures = 0;
@@ -99,9 +109,11 @@
     /// Returns what an entry whose plan has the version `held` does next.
     ///
     /// While the replica of its data centre, or else the leader, has no newer plan yet, the entry waits for it a
-    /// short time, so that one replica does not send the plan to all entries.
-    pub fn next(&self, held: PlanVersion, now: Millis) -> NextPiece<'_> {
-        let (newest, named_at) = self.newest_plan;
+    /// short time, so that one replica does not send the plan to all entries. The time counts from the first version
+    /// that the entry lacks: later ones may follow faster than it passes.
+    pub fn next(&mut self, held: PlanVersion, now: Millis) -> NextPiece<'_> {
+        self.named.retain(|version, _| *version > held);
+        let named_at = self.named.values().next().copied();
         let has_newer = |source: &Source| source.view.plan > held;
         let order = |source: &Source| {
             let is_avoided = source.avoided_until > now;
@@ -119,9 +131,11 @@
                 && source.view.plan > PlanVersion::default()
                 && order(source) < order(best)
         };
-        let patience_left = NEAR_PATIENCE.since(now.since(named_at));
-        let waits = newest > held && patience_left > Millis::ZERO;
-        if waits && self.sources.values().any(|source| is_catching_up(&source)) {
+        let waited = named_at.map_or(NEAR_PATIENCE, |named_at| now.since(named_at));
+        let patience_left = NEAR_PATIENCE.since(waited);
+        if patience_left > Millis::ZERO
+            && self.sources.values().any(|source| is_catching_up(&source))
+        {
             return NextPiece::Wait(patience_left);
         }
         NextPiece::From(address)
--- a/papayatray_core/tests/core/gateway_plan_pieces.rs
+++ b/papayatray_core/tests/core/gateway_plan_pieces.rs
@@ -214,3 +214,17 @@
     sources.record_success();
     assert_eq!(sources.timeout(), Millis::new(500));
 }
+
+/// Guards against an entry that waits for a replica that is stuck, for as long as versions follow each other.
+#[test]
+fn near_replica_gets_time_once_while_versions_follow_each_other() {
+    let mut sources = PieceSources::default();
+    sources.record_reply("near", &view(false, true, 1), true, NOW);
+    let held = PlanVersion(1);
+    for step in 0..10 {
+        let now = NOW + Millis::new(100 * step);
+        sources.record_reply("leader", &view(true, false, 2 + step), true, now);
+        let next = sources.next(held, now);
+        assert_eq!(next == NextPiece::From("leader"), step >= 3, "{next:?}");
+    }
+}
--- a/papayatrayd/src/gateway/plan_client.rs
+++ b/papayatrayd/src/gateway/plan_client.rs
@@ -59,6 +59,11 @@
         self.replied.notify(usize::MAX);
     }
 
+    /// Records that a replica did not answer a sync.
+    pub(super) fn record_failure(&self, address: &str) {
+        self.sources().avoid(address, self.gateway.clock.now());
+    }
+
     /// Returns whether a replica sends pieces, so that no reply to a sync needs to hold the plan.
     pub(super) fn has_sources(&self) -> bool {
         self.sources().has_any()
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -164,6 +164,7 @@
                 Some(Err(error)) => {
                     self.gateway.metrics.count_event("sync_failed");
                     self.replicas().record_failure(&address);
+                    self.plan_client.record_failure(&address);
                     sync.record_failure(&address, &error);
                     Timer::after(sync.backoff.to_duration()).await;
                     sync.backoff = Millis::new(sync.backoff.as_u64() * 2).min(MAX_BACKOFF);
