fix(gateway): only time-outs lengthen the time-outs of syncs and of plan transfers

A control replica that was down refused connections several times in a row, and each refusal doubled the time-out of the next call, up to 4 s: a replica that then accepted the connection and stayed silent would have been noticed after five seconds, when evidence for keys has run out. Refusals now only delay the next call, as before.

--- a/papayatray_core/src/gateway/piece_sources.rs
+++ b/papayatray_core/src/gateway/piece_sources.rs
@@ -14,7 +14,7 @@
 const NEAR_PATIENCE: Millis = Millis::new(300);
 /// Time for which a replica that did not answer is asked only if no other has the plan.
 const AVOIDED_TIME: Millis = Millis::new(500);
-/// Time-out of the first call for a piece; it doubles with each failure in a row, so that a busy link
+/// Time-out of the first call for a piece; it doubles with each one in a row, so that a busy link
 /// delays a piece and does not prevent it.
 const MIN_TIMEOUT: Millis = Millis::new(500);
 /// Longest time-out of a call for a piece.
@@ -47,8 +47,8 @@
     sources: BTreeMap<String, Source>,
     /// Versions that the entry lacked when it last decided, and when each was named first.
     named: BTreeMap<PlanVersion, Millis>,
-    /// Calls for a piece that failed in a row.
-    failures: u32,
+    /// Calls for a piece that timed out since the last piece.
+    timeouts: u32,
 }
 
 impl PieceSources {
@@ -77,22 +77,22 @@
         }
     }
 
-    /// Records that a replica does not answer at present.
+    /// Records that a replica is of no use at present.
     pub fn avoid(&mut self, address: &str, now: Millis) {
         if let Some(source) = self.sources.get_mut(address) {
             source.avoided_until = now + AVOIDED_TIME;
         }
     }
 
-    /// Records that a call for a piece failed.
-    pub fn record_failure(&mut self, address: &str, now: Millis) {
-        self.failures = self.failures.saturating_add(1);
+    /// Records that a call for a piece timed out.
+    pub fn record_timeout(&mut self, address: &str, now: Millis) {
+        self.timeouts = self.timeouts.saturating_add(1);
         self.avoid(address, now);
     }
 
     /// Records that a piece was received.
     pub const fn record_success(&mut self) {
-        self.failures = 0;
+        self.timeouts = 0;
     }
 
     /// Returns whether a replica sends pieces.
@@ -102,7 +102,7 @@
 
     /// Returns the time-out of the next call.
     pub fn timeout(&self) -> Millis {
-        let factor = 1_u64 << self.failures.min(8);
+        let factor = 1_u64 << self.timeouts.min(8);
         Millis::new(MIN_TIMEOUT.as_u64() * factor).min(MAX_TIMEOUT)
     }
 
--- a/papayatray_core/tests/core/gateway_plan_pieces.rs
+++ b/papayatray_core/tests/core/gateway_plan_pieces.rs
@@ -203,7 +203,7 @@
     sources.record_reply("only", &view(true, true, 2), true, NOW);
     for expected in [500, 1_000, 2_000, 4_000, 4_000] {
         assert_eq!(sources.timeout(), Millis::new(expected));
-        sources.record_failure("only", NOW);
+        sources.record_timeout("only", NOW);
     }
     assert_eq!(
         sources.next(PlanVersion(1), NOW),
--- a/papayatrayd/src/gateway/plan_client.rs
+++ b/papayatrayd/src/gateway/plan_client.rs
@@ -108,12 +108,12 @@
         let has_moved = match reply {
             Ok(reply) => self.apply_reply(address, reply, copy, asked_at),
             Err(error) => {
-                self.log_failure(address, &error);
-                false
+                self.record_error(address, &error, now);
+                return;
             }
         };
         if !has_moved {
-            self.sources().record_failure(address, now);
+            self.sources().avoid(address, now);
             return;
         }
         self.sources().record_success();
@@ -170,7 +170,12 @@
         table.map_or_else(PlanVersion::default, |table| table.version())
     }
 
-    fn log_failure(&self, address: &str, error: &CallError) {
+    fn record_error(&self, address: &str, error: &CallError, now: Millis) {
+        if matches!(error, CallError::Timeout) {
+            self.sources().record_timeout(address, now);
+        } else {
+            self.sources().avoid(address, now);
+        }
         self.gateway.metrics.count_event("piece_failed");
         event(
             Level::Info,
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -31,7 +31,7 @@
 use crate::observe::event;
 use crate::peer::Peers;
 
-/// Shortest time-out of a sync request, beyond the delay of its long poll. It doubles with each failure in a
+/// Shortest time-out of a sync request, beyond the delay of its long poll. It doubles with each one in a
 /// row, and is longer on a link on which replies take long, so that a busy link delays the sync and does not
 /// prevent it.
 const MIN_SYNC_TIMEOUT: Millis = Millis::new(1_000);
@@ -86,8 +86,8 @@
     backoff: Millis,
     /// Time that the last reply took beyond its long poll.
     reply_delay: Millis,
-    /// Calls that failed in a row.
-    failures: u32,
+    /// Calls that timed out since the last reply.
+    timeouts: u32,
     /// Whether the last call was abandoned for a change at this entry. The next one is not, as calls would
     /// never end while changes follow each other faster than replies arrive.
     was_abandoned: bool,
@@ -323,14 +323,14 @@
     /// Returns the time-out of the next call, beyond the delay of its long poll.
     fn timeout(&self) -> Millis {
         let late = Millis::new(self.reply_delay.as_u64() * LATE_FACTOR);
-        let factor = 1_u64 << self.failures.min(8);
+        let factor = 1_u64 << self.timeouts.min(8);
         let timeout = Millis::new(late.max(MIN_SYNC_TIMEOUT).as_u64() * factor);
         timeout.min(MAX_SYNC_TIMEOUT)
     }
 
     fn record_success(&mut self, address: &str, reply_delay: Millis) {
         self.reply_delay = reply_delay;
-        self.failures = 0;
+        self.timeouts = 0;
         self.was_abandoned = false;
         self.backoff = MIN_BACKOFF;
         if !self.is_reachable {
@@ -340,7 +340,9 @@
     }
 
     fn record_failure(&mut self, address: &str, error: &CallError) {
-        self.failures = self.failures.saturating_add(1);
+        if matches!(error, CallError::Timeout) {
+            self.timeouts = self.timeouts.saturating_add(1);
+        }
         self.was_abandoned = false;
         if self.is_reachable {
             self.is_reachable = false;
