docs(gateway): comments of the plan's pieces, read as a newcomer would

Line breaks, and three comments that said something else than the code: a replica that did not answer is not asked for half a second, whether or not another one has the plan. No code is changed.

--- a/papayatray_bench/src/plans.rs
+++ b/papayatray_bench/src/plans.rs
@@ -1,4 +1,5 @@
-//! Plans on their way to the entries: bytes and processor time of a whole plan and of a change of one route.
+//! Plans on their way to the entries: bytes and processor time of a whole plan and of a change of
+//! one route.
 
 use std::collections::BTreeSet;
 use std::error::Error;
--- a/papayatray_core/src/gateway/freshness.rs
+++ b/papayatray_core/src/gateway/freshness.rs
@@ -2,8 +2,8 @@
 //! without the entry knowing.
 //!
 //! After a simultaneous restart of all processes, callers retry before the control replicas have
-//! elected a leader and before endpoints have sent a heartbeat; requests therefore wait a bounded time
-//! for the first freshness proof and the first endpoint.
+//! elected a leader and before endpoints have sent a heartbeat; requests therefore wait a bounded
+//! time for the first freshness proof and the first endpoint.
 
 use std::collections::BTreeMap;
 
@@ -23,8 +23,8 @@
 /// Process age after which requests no longer wait for the first proof.
 const MAX_STARTUP_AGE: Millis = Millis::from_secs(4);
 
-/// Returns how long a request may wait for the first freshness proof, or for the first endpoint of its
-/// service, at a process of this age.
+/// Returns how long a request may wait for the first freshness proof, or for the first endpoint of
+/// its service, at a process of this age.
 ///
 /// `time_left` is the time until the request's deadline, if it has one.
 ///
@@ -48,8 +48,8 @@
 /// Latest proof from a quorum that the entry's plan is the newest one.
 ///
 /// Load: versions that follow each other faster than an entry receives them. A proof names the
-/// version that was the newest when it was asked for. It counts once the plan in force is as new, whenever
-/// that plan arrives and whatever has been published since.
+/// version that was the newest when it was asked for. It counts once the plan in force is as new,
+/// whenever that plan arrives and whatever has been published since.
 #[derive(Clone, Debug)]
 pub struct PlanFreshness {
     /// Age from which the latest proof is stale.
@@ -65,8 +65,8 @@
 }
 
 impl PlanFreshness {
-    /// Creates the state without a proof; a revoked key must stop working within `revocation`, and a
-    /// version must be in force within `in_force`.
+    /// Creates the state without a proof; a revoked key must stop working within `revocation`, and
+    /// a version must be in force within `in_force`.
     pub const fn new(revocation: Millis, in_force: Millis) -> Self {
         Self {
             max_age: used_part(revocation),
@@ -77,7 +77,8 @@
         }
     }
 
-    /// Records the leader's confirmation, requested at `requested_at`, that `version` is the newest.
+    /// Records the leader's confirmation, requested at `requested_at`, that `version` is the
+    /// newest.
     ///
     /// Its age counts from the request, since a key may have been revoked right after that.
     pub fn confirm(&mut self, version: PlanVersion, requested_at: Millis) {
@@ -93,8 +94,8 @@
         confirmations.first = confirmations.first.min(requested_at);
         confirmations.last = confirmations.last.max(requested_at);
         if self.pending.len() > MAX_PENDING {
-            // The first version tells how long the plan has been outdated, the last ones are the likeliest to come
-            // into force.
+            // The first version tells how long the plan has been outdated, the last ones are the
+            // likeliest to come into force.
             let second = self.pending.keys().nth(1).copied();
             second.and_then(|version| self.pending.remove(&version));
         }
--- a/papayatray_core/src/gateway/piece_sources.rs
+++ b/papayatray_core/src/gateway/piece_sources.rs
@@ -1,8 +1,8 @@
 //! From which control replica an entry takes the next piece of the plan.
 //!
-//! Load: hundreds of entries that learn of a version in the same tenth of a second, each over a narrow link. Each
-//! takes one copy from one replica at a time, in its own data centre if one is there, and goes on at another
-//! if that one does not answer.
+//! Load: hundreds of entries that learn of a version in the same tenth of a second, each over a
+//! narrow link. Each takes one copy from one replica at a time, in its own data centre if one is
+//! there, and goes on at another if that one does not answer.
 
 use std::collections::BTreeMap;
 
@@ -10,9 +10,10 @@
 use crate::clock::Millis;
 use crate::id::PlanVersion;
 
-/// Time for which an entry waits until the replica in its data centre has a plan that another one has.
+/// Time for which an entry waits until the replica in its data centre has a plan that another one
+/// has.
 const NEAR_PATIENCE: Millis = Millis::new(300);
-/// Time for which a replica that did not answer is asked only if no other has the plan.
+/// Time for which a replica that did not answer is not asked again.
 const AVOIDED_TIME: Millis = Millis::new(500);
 /// Time-out of the first call for a piece; it doubles with each one in a row, so that a busy link
 /// delays a piece and does not prevent it.
@@ -108,9 +109,10 @@
 
     /// Returns what an entry whose plan has the version `held` does next.
     ///
-    /// While the replica of its data centre, or else the leader, has no newer plan yet, the entry waits for it a
-    /// short time, so that one replica does not send the plan to all entries. The time counts from the first version
-    /// that the entry lacks: later ones may follow faster than it passes.
+    /// While the replica of its data centre, or else the leader, has no newer plan yet, the entry
+    /// waits for it a short time, so that one replica does not send the plan to all entries. The
+    /// time counts from the first version that the entry lacks: later ones may follow faster than
+    /// it passes.
     pub fn next(&mut self, held: PlanVersion, now: Millis) -> NextPiece<'_> {
         self.named.retain(|version, _| *version > held);
         let named_at = self.named.values().next().copied();
--- a/papayatray_core/src/gateway/plan_copy.rs
+++ b/papayatray_core/src/gateway/plan_copy.rs
@@ -43,8 +43,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if a change cannot be decoded, or if the completed plan is not that of the replica; the
-    /// copy is then empty.
+    /// Fails if a change cannot be decoded, or if the completed plan is not that of the replica;
+    /// the copy is then empty.
     pub fn apply(&mut self, piece: PlanPiece) -> Result<Option<RouteTable>, CopyError> {
         if piece.is_restart {
             *self = Self::default();
--- a/papayatray_core/src/gateway/plan_items.rs
+++ b/papayatray_core/src/gateway/plan_items.rs
@@ -81,7 +81,8 @@
     }
 }
 
-/// Digest of a set of items, which does not depend on their order: the sum of the digests of their texts.
+/// Digest of a set of items, which does not depend on their order: the sum of the digests of their
+/// texts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemDigest([u64; 2]);
 
@@ -175,8 +176,8 @@
     set.chain(removed).collect()
 }
 
-/// Returns the routes by host, in lower case, and prefix; of routes that differ only in the case of their
-/// host, the last one counts.
+/// Returns the routes by host, in lower case, and prefix; of routes that differ only in the case of
+/// their host, the last one counts.
 fn routes_by_key(plan: &Plan) -> BTreeMap<(Cow<'_, str>, &str), &Route> {
     let routes = plan.routes.iter();
     let keyed = routes.map(|route| {
--- a/papayatray_core/src/gateway/plan_log.rs
+++ b/papayatray_core/src/gateway/plan_log.rs
@@ -1,9 +1,10 @@
 //! Log of the changes of the plan at a control replica, by item, from which entries take pieces.
 //!
 //! Load: hundreds of entries behind narrow links, plans of thousands of routes, and versions that
-//! follow each other faster than a whole plan is sent. The log holds the last change of each item, in
-//! the order of the versions. An entry that has received a part of it goes on from there, whatever has been published
-//! meanwhile and whichever replica sends the rest; what was overwritten meanwhile is sent once.
+//! follow each other faster than a whole plan is sent. The log holds the last change of each item,
+//! in the order of the versions. An entry that has received a part of it goes on from there,
+//! whatever has been published meanwhile and whichever replica sends the rest; what was overwritten
+//! meanwhile is sent once.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -29,8 +30,8 @@
 pub struct PlanCursor {
     /// Version that numbers all older changes in the log of the replica that sent the last piece.
     pub base: PlanVersion,
-    /// Newest version that a replica had when it sent a piece: changes that it had overwritten by then were
-    /// not sent, so a replica without that version cannot go on.
+    /// Newest version that a replica had when it sent a piece: changes that it had overwritten by
+    /// then were not sent, so a replica without that version cannot go on.
     pub newest: PlanVersion,
     /// Version of the last change received; version 0 stands for the start of the log.
     pub version: PlanVersion,
@@ -41,7 +42,8 @@
 /// Consecutive changes of a log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlanPiece {
-    /// Whether the changes are the first of the log, so that what the entry has received does not count.
+    /// Whether the changes are the first of the log, so that what the entry has received does not
+    /// count.
     pub is_restart: bool,
     /// Texts of the changes, one a line.
     pub text: String,
@@ -94,7 +96,8 @@
             .map_or_else(PlanVersion::default, |plan| plan.version)
     }
 
-    /// Adds the changes that make `plan` of the newest one; a plan that is not newer changes nothing.
+    /// Adds the changes that make `plan` of the newest one; a plan that is not newer changes
+    /// nothing.
     ///
     /// Every version that was in force must be added: an entry may hold any of them.
     ///
@@ -117,8 +120,8 @@
         Ok(())
     }
 
-    /// Replaces the log by one that begins with `plan`, as versions before it may be missing; a plan that
-    /// is not newer changes nothing.
+    /// Replaces the log by one that begins with `plan`, as versions before it may be missing; a
+    /// plan that is not newer changes nothing.
     ///
     /// # Errors
     ///
@@ -135,7 +138,8 @@
         self.record(plan)
     }
 
-    /// Returns the changes after `cursor` up to about `max_bytes` of text, at least one if there is any.
+    /// Returns the changes after `cursor` up to about `max_bytes` of text, at least one if there is
+    /// any.
     ///
     /// An entry that has heard of a newer version gets no change.
     pub fn piece(&self, cursor: &PlanCursor, max_bytes: usize) -> PlanPiece {
@@ -183,8 +187,9 @@
 
     /// Returns whether an entry at `cursor` gets all that it lacks from the changes after it.
     ///
-    /// An entry that has a whole version lacks only later changes. Of one in the middle of a version, the removals of
-    /// that version must be known, and the changes numbered alike: those up to the base of a log bear its number.
+    /// An entry that has a whole version lacks only later changes. Of one in the middle of a
+    /// version, the removals of that version must be known, and the changes numbered alike: those
+    /// up to the base of a log bear its number.
     fn can_continue(&self, cursor: &PlanCursor) -> bool {
         if cursor.key.is_none() {
             return cursor.version > PlanVersion::default() && cursor.version >= self.oldest;
--- a/papayatray_core/tests/core/gateway_plan_pieces.rs
+++ b/papayatray_core/tests/core/gateway_plan_pieces.rs
@@ -1,4 +1,5 @@
-//! Plans that entries receive in pieces, from replicas that come and go, while versions follow each other.
+//! Plans that entries receive in pieces, from replicas that come and go, while versions follow each
+//! other.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -73,12 +74,13 @@
     );
 }
 
-/// Step of a history: changes of routes, whether the second replica misses the version, and the replica
-/// that the entry asks next.
+/// Step of a history: changes of routes, whether the second replica misses the version, and the
+/// replica that the entry asks next.
 type Step = (Vec<(u16, u64)>, bool, usize);
 
 proptest! {
-    /// Guards against an entry that works by a mixture of versions after it has changed the replica.
+    /// Guards against an entry that works by a mixture of versions after it has changed the
+    /// replica.
     #[test]
     fn completed_plan_is_that_of_the_replica(
         steps in vec((vec((0_u16..40, 0_u64..4), 0..8), proptest::bool::ANY, 0_usize..2), 1..60),
@@ -215,7 +217,8 @@
     assert_eq!(sources.timeout(), Millis::new(500));
 }
 
-/// Guards against an entry that waits for a replica that is stuck, for as long as versions follow each other.
+/// Guards against an entry that waits for a replica that is stuck, for as long as versions follow
+/// each other.
 #[test]
 fn near_replica_gets_time_once_while_versions_follow_each_other() {
     let mut sources = PieceSources::default();
--- a/papayatray_state/src/compression.rs
+++ b/papayatray_state/src/compression.rs
@@ -7,12 +7,12 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 
-/// What a compressed text is weighed by.
+/// What to save when a text is compressed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effort {
-    /// Few bytes, for texts that many processes receive.
+    /// Bytes, for texts that many processes receive.
     Size,
-    /// Little processor time, for large texts on a thread that has other work.
+    /// Processor time, for large texts on a thread that has other work.
     Time,
 }
 
--- a/papayatray_wire/src/peer/plan.rs
+++ b/papayatray_wire/src/peer/plan.rs
@@ -14,8 +14,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Text in one piece, in bytes: about 10 KB in compressed form, which a link of 10 Mbit/s carries in
-/// 8 ms.
+/// Text in one piece, in bytes: about 10 KB in compressed form, which a link of 10 Mbit/s carries
+/// in 8 ms.
 pub const PIECE_BYTES: usize = 64 << 10;
 /// Maximum size of the text of a piece in bytes; a single route may exceed the usual size.
 const MAX_TEXT_BYTES: u64 = 16 << 20;
--- a/papayatrayd/src/gateway/control_state/plans.rs
+++ b/papayatrayd/src/gateway/control_state/plans.rs
@@ -19,7 +19,8 @@
 use crate::observe::Level;
 use crate::observe::event;
 
-/// Replies that are kept for the entries that ask for the same piece; a plan of 10,000 routes has about 60.
+/// Replies that are kept for the entries that ask for the same piece; a plan of 10,000 routes has
+/// about 60.
 const MAX_REPLIES: usize = 128;
 
 /// Plans of a control replica.
@@ -31,8 +32,8 @@
 #[derive(Debug, Default)]
 struct StoredPlans {
     log: PlanLog,
-    /// Replies of the newest version by the position that they follow: hundreds of entries ask for the
-    /// same ones.
+    /// Replies of the newest version by the position that they follow: hundreds of entries ask for
+    /// the same ones.
     replies: BTreeMap<PlanCursor, Arc<PieceReply>>,
 }
 
--- a/papayatrayd/src/gateway/routed_request.rs
+++ b/papayatrayd/src/gateway/routed_request.rs
@@ -232,7 +232,7 @@
     )
 }
 
-/// Returns the refusal for the time while this entry knows that a newer plan is in force elsewhere.
+/// Returns the refusal for the time while this entry knows of a newer plan that it does not have.
 pub(super) const fn outdated_plan_refusal() -> Refusal {
     Refusal::NotRun(
         "the plan of this entry is outdated, and the newer one has not arrived",
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -31,9 +31,9 @@
 use crate::observe::event;
 use crate::peer::Peers;
 
-/// Shortest time-out of a sync request, beyond the delay of its long poll. It doubles with each one in a
-/// row, and is longer on a link on which replies take long, so that a busy link delays the sync and does not
-/// prevent it.
+/// Shortest time-out of a sync request, beyond the delay of its long poll. It doubles with each one
+/// in a row, and is longer on a link on which replies take long, so that a busy link delays the
+/// sync and does not prevent it.
 const MIN_SYNC_TIMEOUT: Millis = Millis::new(1_000);
 /// Longest time-out of a sync request, beyond the delay of its long poll.
 const MAX_SYNC_TIMEOUT: Millis = Millis::new(4_000);
@@ -88,8 +88,8 @@
     reply_delay: Millis,
     /// Calls that timed out since the last reply.
     timeouts: u32,
-    /// Whether the last call was abandoned for a change at this entry. The next one is not, as calls would
-    /// never end while changes follow each other faster than replies arrive.
+    /// Whether the last call was abandoned for a change at this entry. The next one is not, as
+    /// calls would never end while changes follow each other faster than replies arrive.
     was_abandoned: bool,
 }
 
--- a/papayatrayd/tests/gateway/bulk.rs
+++ b/papayatrayd/tests/gateway/bulk.rs
@@ -94,7 +94,8 @@
     }
 }
 
-/// Returns a plan with many routes, of which the first `changed` differ from those of other versions.
+/// Returns a plan with many routes, of which the first `changed` differ from those of other
+/// versions.
 fn large_plan(version: u64, changed: usize) -> Plan {
     let small = plan();
     let added = (0..ROUTES).map(|number| Route {
@@ -123,8 +124,8 @@
     site.wait_for("the large plan", |site| site.version() == 2);
 }
 
-/// The delay is measured in bytes: the link carries this many in less than a second, and a plan of this size
-/// as text has five times as many.
+/// The delay is measured in bytes: the link carries this many in less than a second, and a plan of
+/// this size as text has five times as many.
 #[test]
 fn departure_is_not_delayed_by_a_plan_in_transfer() {
     const MAX_CARRIED: usize = 100_000;
@@ -152,7 +153,8 @@
     assert!(carried < MAX_CARRIED, "{carried} bytes came first");
 }
 
-/// A version with one changed route follows every 150 ms, for three times the bound of revoked keys.
+/// A version with one changed route follows every 150 ms, for three times the bound of revoked
+/// keys.
 #[test]
 fn entry_keeps_its_evidence_while_versions_of_a_large_plan_follow_each_other() {
     let site = Site::start(120_000);
