refactor(gateway): a decision on the next piece owns the address that it names

The client turned it into a result with an option to let go of a lock before it waits; now it matches the decision itself.

--- a/papayatray_core/src/gateway/piece_sources.rs
+++ b/papayatray_core/src/gateway/piece_sources.rs
@@ -25,12 +25,12 @@
 const MAX_NAMED: usize = 64;
 
 /// What an entry does next to bring its plan up to date.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NextPiece<'a> {
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NextPiece {
     /// No replica is known to have a newer plan.
     UpToDate,
     /// Asks the replica at this address.
-    From(&'a str),
+    From(String),
     /// Decides again after this time, if no replica replies earlier.
     Wait(Millis),
 }
@@ -113,7 +113,7 @@
     /// waits for it a short time, so that one replica does not send the plan to all entries. The
     /// time counts from the first version that the entry lacks: later ones may follow faster than
     /// it passes.
-    pub fn next(&mut self, held: PlanVersion, now: Millis) -> NextPiece<'_> {
+    pub fn next(&mut self, held: PlanVersion, now: Millis) -> NextPiece {
         self.named.retain(|version, _| *version > held);
         let named_at = self.named.values().next().copied();
         let has_newer = |source: &Source| source.view.plan > held;
@@ -140,6 +140,6 @@
         {
             return NextPiece::Wait(patience_left);
         }
-        NextPiece::From(address)
+        NextPiece::From(address.clone())
     }
 }
--- a/papayatray_core/tests/core/gateway_plan_pieces.rs
+++ b/papayatray_core/tests/core/gateway_plan_pieces.rs
@@ -184,6 +184,10 @@
     }
 }
 
+fn from(address: &str) -> NextPiece {
+    NextPiece::From(address.to_owned())
+}
+
 #[test]
 fn piece_is_taken_from_the_near_replica_which_gets_time_to_catch_up() {
     let mut sources = PieceSources::default();
@@ -192,9 +196,9 @@
     let held = PlanVersion(1);
     assert_eq!(sources.next(held, NOW), NextPiece::Wait(Millis::new(300)));
     let later = NOW + Millis::new(300);
-    assert_eq!(sources.next(held, later), NextPiece::From("leader"));
+    assert_eq!(sources.next(held, later), from("leader"));
     sources.record_reply("near", &view(false, true, 2), true, NOW);
-    assert_eq!(sources.next(held, NOW), NextPiece::From("near"));
+    assert_eq!(sources.next(held, NOW), from("near"));
     assert_eq!(sources.next(PlanVersion(2), NOW), NextPiece::UpToDate);
 }
 
@@ -212,7 +216,7 @@
         NextPiece::Wait(Millis::new(500))
     );
     let later = NOW + Millis::new(500);
-    assert_eq!(sources.next(PlanVersion(1), later), NextPiece::From("only"));
+    assert_eq!(sources.next(PlanVersion(1), later), from("only"));
     sources.record_success();
     assert_eq!(sources.timeout(), Millis::new(500));
 }
@@ -228,6 +232,6 @@
         let now = NOW + Millis::new(100 * step);
         sources.record_reply("leader", &view(true, false, 2 + step), true, now);
         let next = sources.next(held, now);
-        assert_eq!(next == NextPiece::From("leader"), step >= 3, "{next:?}");
+        assert_eq!(next == from("leader"), step >= 3, "{next:?}");
     }
 }
--- a/papayatrayd/src/gateway/plan_client.rs
+++ b/papayatrayd/src/gateway/plan_client.rs
@@ -75,20 +75,16 @@
         loop {
             let replied = self.replied.listen();
             let now = self.gateway.clock.now();
-            let next = match self.sources().next(self.held_version(), now) {
-                NextPiece::From(address) => Ok(address.to_owned()),
-                NextPiece::Wait(time) => Err(Some(time)),
-                NextPiece::UpToDate => Err(None),
-            };
+            let next = self.sources().next(self.held_version(), now);
             match next {
-                Ok(address) => self.receive_piece(&address, &mut copy).await,
-                Err(Some(time)) => {
+                NextPiece::From(address) => self.receive_piece(&address, &mut copy).await,
+                NextPiece::Wait(time) => {
                     let waited = async {
                         Timer::after(time.to_duration()).await;
                     };
                     replied.or(waited).await;
                 }
-                Err(None) => replied.await,
+                NextPiece::UpToDate => replied.await,
             }
         }
     }
