test(format): name the highest level in tests that wait for it

They now compare with FormatLevel::HIGHEST; the tool's test waits for it as the order itself needs level 1 only, and checks that all three replicas read it.

--- a/papayatrayd/tests/processes/evacuations.rs
+++ b/papayatrayd/tests/processes/evacuations.rs
@@ -7,6 +7,7 @@
 
 use jsonrpsee_core::server::RpcModule;
 use papayatray_core::clock::Millis;
+use papayatray_core::format::FormatLevel;
 use papayatray_wire::link::ClusterKey;
 use papayatray_wire::peer::CallError;
 use papayatray_wire::peer::Method;
@@ -70,11 +71,12 @@
     let site = Site::start("level");
     site.wait("the level is raised", |site| {
         let (_, text) = call(site.operator_addresses[0], "GET", "/v1/levels", "");
-        text.contains("\"in_force\":1")
+        text.contains(&format!("\"in_force\":{}", FormatLevel::HIGHEST))
     });
     site.wait("all processes are listed", |site| {
         let (_, text) = call(site.operator_addresses[0], "GET", "/v1/levels", "");
-        text.matches("\"reads\":1").count() == 5
+        let stated = format!("\"reads\":{}", FormatLevel::HIGHEST);
+        text.matches(&stated).count() == 5
     });
 }
 
@@ -129,7 +131,8 @@
     site.spawn("control-0");
     site.wait("the folder is reported", |site| {
         let log = site.log("control-0");
-        log.contains("event=folder_undecodable") && log.contains("lacks_level=2")
+        let lacks = format!("lacks_level={}", FormatLevel::HIGHEST.next());
+        log.contains("event=folder_undecodable") && log.contains(&lacks)
     });
     assert_eq!(std::fs::read(&segment).unwrap(), bytes);
     // The other two go on.
@@ -231,7 +234,8 @@
     drop(stop_replica);
     old_replica.join().unwrap();
     site.spawn(&format!("control-{replaced}"));
-    site.wait("the level is raised", |site| level(site) == 1);
+    let highest = u64::from(FormatLevel::HIGHEST.0);
+    site.wait("the level is raised", |site| level(site) == highest);
     site.call_operator("PUT", "/v1/evacuations/here", "");
 }
 
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use papayatray_core::format::FormatLevel;
 use papayatray_standin::OPERATOR_KEY;
 use papayatray_standin::Program;
 use papayatray_standin::Site;
@@ -221,10 +222,16 @@
         output = tool(address, &["evacuate", "north"]);
     }
     assert_eq!(exit_code(&output), Some(0), "{output:?}");
-    let shown = stdout(&tool(address, &["show"]));
+    // The order needs level 1; the level rises on to the highest one.
+    let highest = format!("format level {} in force", FormatLevel::HIGHEST);
+    let mut shown = stdout(&tool(address, &["show"]));
+    while !shown.contains(&highest) && begin.elapsed() < READY_TIMEOUT {
+        shown = stdout(&tool(address, &["show"]));
+    }
     assert!(shown.contains("evacuated north"), "{shown}");
-    assert!(shown.contains("format level 1 in force"), "{shown}");
-    assert!(shown.contains("reads level 1"), "{shown}");
+    assert!(shown.contains(&highest), "{shown}");
+    let reads = format!("reads level {}", FormatLevel::HIGHEST);
+    assert_eq!(shown.matches(&reads).count(), 3, "{shown}");
     let output = tool(address, &["readmit", "north"]);
     assert_eq!(exit_code(&output), Some(0), "{output:?}");
     let shown = stdout(&tool(address, &["show", "--format", "json"]));
