--- a/papayatrayd/tests/gateway/sync.rs
+++ b/papayatrayd/tests/gateway/sync.rs
@@ -28,6 +28,7 @@
 use crate::endpoint::FakeEndpoint;
 use crate::rig::AdvancedClock;
 use crate::rig::announcement;
+use crate::rig::plan;
 
 /// Entries of the largest deployment that these tests play.
 const ENTRIES: usize = 195;
@@ -235,3 +236,19 @@
     assert_eq!(sent.iter().sum::<usize>(), ENDPOINTS, "{sent:?}");
     assert!(sent.iter().all(|sent| *sent <= 128), "{sent:?}");
 }
+
+/// Guards against entries of an older build that get no plan while VMs are replaced one by one.
+#[test]
+fn entry_that_reads_no_pieces_gets_the_whole_plan() {
+    let replica = replica();
+    replica.publish(plan());
+    let first = sync(&replica, first_request("vm-1"));
+    assert_eq!(first.plan, Some(plan()));
+    let reading_pieces = SyncRequest {
+        wants_plan: false,
+        ..first_request("vm-2")
+    };
+    let reply = sync(&replica, reading_pieces);
+    assert!(reply.serves_pieces);
+    assert_eq!((reply.plan, reply.version), (None, plan().version));
+}
