--- a/papayatray_core/src/clock.rs
+++ b/papayatray_core/src/clock.rs
@@ -41,6 +41,13 @@
         Self(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the value doubled `times` times, or `max` if that is less.
+    #[must_use]
+    pub fn doubled(self, times: u32, max: Self) -> Self {
+        let factor = 1_u64.checked_shl(times).unwrap_or(u64::MAX);
+        Self(self.0.saturating_mul(factor)).min(max)
+    }
+
     /// Converts the value to a [`Duration`].
     pub const fn to_duration(self) -> Duration {
         Duration::from_millis(self.0)
--- a/papayatray_core/src/gateway/piece_sources.rs
+++ b/papayatray_core/src/gateway/piece_sources.rs
@@ -103,8 +103,7 @@
 
     /// Returns the time-out of the next call.
     pub fn timeout(&self) -> Millis {
-        let factor = 1_u64 << self.timeouts.min(8);
-        Millis::new(MIN_TIMEOUT.as_u64() * factor).min(MAX_TIMEOUT)
+        MIN_TIMEOUT.doubled(self.timeouts, MAX_TIMEOUT)
     }
 
     /// Returns what an entry whose plan has the version `held` does next.
--- a/papayatray_core/src/gateway/plan_items.rs
+++ b/papayatray_core/src/gateway/plan_items.rs
@@ -33,7 +33,8 @@
 impl ItemKey {
     /// Returns the key of a route.
     pub fn of_route(route: &Route) -> Self {
-        Self::Route(lower_case(&route.host).into(), route.prefix.as_str().into())
+        let (host, prefix) = route_key(route);
+        Self::Route(host, prefix)
     }
 }
 
@@ -134,6 +135,11 @@
     changes
 }
 
+/// Returns the host of a route, in lower case, and its path prefix.
+pub(super) fn route_key(route: &Route) -> (Arc<str>, Arc<str>) {
+    (lower_case(&route.host).into(), route.prefix.as_str().into())
+}
+
 /// Returns the items of a plan.
 pub fn items(plan: Plan) -> impl Iterator<Item = PlanItem> {
     let services = plan.services.into_iter();
--- a/papayatray_core/src/gateway/table.rs
+++ b/papayatray_core/src/gateway/table.rs
@@ -59,8 +59,7 @@
                 Arc::make_mut(&mut self.organisations).insert(id, organisation);
             }
             PlanItem::Route(route) => {
-                let host: Arc<str> = route.host.to_ascii_lowercase().into();
-                let prefix: Arc<str> = route.prefix.as_str().into();
+                let (host, prefix) = plan_items::route_key(&route);
                 let routes = self.routes.entry(host).or_default();
                 Arc::make_mut(routes).insert(prefix, Arc::new(route));
             }
--- a/papayatrayd/src/gateway/control_state/plans.rs
+++ b/papayatrayd/src/gateway/control_state/plans.rs
@@ -72,7 +72,7 @@
             }
             (inner.log.piece(cursor, PIECE_BYTES), inner.log.version())
         };
-        // Compressed without the lock, which every sync takes.
+        // Compressed without the lock, for which the control thread waits with each new plan.
         let reply = Arc::new(PieceReply::from(piece));
         let mut inner = self.inner();
         if inner.log.version() == version {
--- a/papayatrayd/src/gateway/sync_client.rs
+++ b/papayatrayd/src/gateway/sync_client.rs
@@ -167,7 +167,7 @@
                     self.plan_client.record_failure(&address);
                     sync.record_failure(&address, &error);
                     Timer::after(sync.backoff.to_duration()).await;
-                    sync.backoff = Millis::new(sync.backoff.as_u64() * 2).min(MAX_BACKOFF);
+                    sync.backoff = sync.backoff.doubled(1, MAX_BACKOFF);
                 }
                 None => {
                     self.gateway.metrics.count_event("sync_abandoned");
@@ -323,9 +323,8 @@
     /// Returns the time-out of the next call, beyond the delay of its long poll.
     fn timeout(&self) -> Millis {
         let late = Millis::new(self.reply_delay.as_u64() * LATE_FACTOR);
-        let factor = 1_u64 << self.timeouts.min(8);
-        let timeout = Millis::new(late.max(MIN_SYNC_TIMEOUT).as_u64() * factor);
-        timeout.min(MAX_SYNC_TIMEOUT)
+        late.max(MIN_SYNC_TIMEOUT)
+            .doubled(self.timeouts, MAX_SYNC_TIMEOUT)
     }
 
     fn record_success(&mut self, address: &str, reply_delay: Millis) {
--- a/papayatrayd/src/peer/client.rs
+++ b/papayatrayd/src/peer/client.rs
@@ -207,8 +207,7 @@
                     self.run_connection(first, sender, receiver).await;
                 }
                 Err(error) => {
-                    let doubled = Millis::new(handshake_timeout.as_u64() * 2);
-                    handshake_timeout = doubled.min(MAX_HANDSHAKE_TIMEOUT);
+                    handshake_timeout = handshake_timeout.doubled(1, MAX_HANDSHAKE_TIMEOUT);
                     let error = CallError::Unreachable(error.to_string());
                     fail(first, &error);
                     while let Ok(next) = self.outgoing.try_recv() {
