--- a/papayatrayd/src/peer/client.rs
+++ b/papayatrayd/src/peer/client.rs
@@ -34,7 +34,7 @@
 
 /// Time-out for connecting, without the handshake.
 const CONNECT_TIMEOUT: Millis = Millis::new(1_000);
-/// Time-out of the first handshake; it doubles with each failure in a row.
+/// Time-out of the first handshake; it doubles with each one that fails in a row.
 const MIN_HANDSHAKE_TIMEOUT: Millis = Millis::new(1_000);
 /// Longest time-out of a handshake, as at the server.
 const MAX_HANDSHAKE_TIMEOUT: Millis = Millis::new(3_000);
@@ -201,13 +201,9 @@
     async fn run(self) {
         let mut handshake_timeout = MIN_HANDSHAKE_TIMEOUT;
         while let Ok(first) = self.outgoing.recv().await {
-            match self.connect(handshake_timeout).await {
-                Ok((sender, receiver)) => {
-                    handshake_timeout = MIN_HANDSHAKE_TIMEOUT;
-                    self.run_connection(first, sender, receiver).await;
-                }
+            match self.connect(&mut handshake_timeout).await {
+                Ok((sender, receiver)) => self.run_connection(first, sender, receiver).await,
                 Err(error) => {
-                    handshake_timeout = handshake_timeout.doubled(1, MAX_HANDSHAKE_TIMEOUT);
                     let error = CallError::Unreachable(error.to_string());
                     fail(first, &error);
                     while let Ok(next) = self.outgoing.try_recv() {
@@ -219,9 +215,11 @@
         }
     }
 
+    /// Connects, and sets the time-out of the next handshake: a refusal to connect does not lengthen
+    /// it, as the peer is then known to be down.
     async fn connect(
         &self,
-        handshake_timeout: Millis,
+        handshake_timeout: &mut Millis,
     ) -> Result<(link::Sender, link::Receiver), LinkError> {
         let address: SocketAddr = self
             .address
@@ -229,7 +227,13 @@
             .map_err(|_bad| LinkError::Malformed(format!("address {}", self.address)))?;
         let dialing = async { Ok(dial(address).await?) };
         let stream = with_timeout(CONNECT_TIMEOUT, dialing).await?;
-        with_timeout(handshake_timeout, link::connect(stream, &self.key)).await
+        let connected = with_timeout(*handshake_timeout, link::connect(stream, &self.key)).await;
+        *handshake_timeout = if connected.is_ok() {
+            MIN_HANDSHAKE_TIMEOUT
+        } else {
+            handshake_timeout.doubled(1, MAX_HANDSHAKE_TIMEOUT)
+        };
+        connected
     }
 
     /// Transfers frames until the connection fails or is found to be stalled.
