Review case 1: more requests while the endpoint is faulty

With eight requests all of them may miss the faulty endpoint by chance (about 4 in 100 runs); fourteen go out now, and the streams last 14 s, so that a slower machine sees the fault too.

--- a/review/standin/endless_body.rs
+++ b/review/standin/endless_body.rs
@@ -28,10 +28,10 @@
 /// Consumers with a stream on a kept channel.
 const STREAMS: u32 = 12;
 /// Events of a stream, and the pause between two of them.
-const EVENTS: u32 = 120;
+const EVENTS: u32 = 140;
 const EVENT_GAP: Duration = Duration::from_millis(100);
 /// Further requests while a worker is in trouble, and the pause between two of them.
-const READS: u32 = 8;
+const READS: u32 = 14;
 const READ_GAP: Duration = Duration::from_millis(250);
 
 /// Returns the resident memory of a process in megabytes.
