fix(gateway): bound the memory of all buffered bodies, not the bytes of each

Cause: the limit of a buffered body counted its bytes of data. The body was collected as a list of frames, at 32 bytes for each frame and 6 of the read buffer that it keeps alive; and nothing bounded the sum over bodies, nor over the events of streams.

Now frames are copied into one buffer, and all buffered bodies and events share a pool of a quarter of the process's memory (setting `memory`). A source may hold as much as remains free after it, so one hostile endpoint or organisation gets half of the pool at most, and others find room. Bodies of very many tiny frames are refused early. A refused response counts as the endpoint's failure, and goes elsewhere if it may. Control replicas bound the time and size of request bodies by the same means.

--- a/papayatray_core/src/gateway/mod.rs
+++ b/papayatray_core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod answers;
 pub mod arrivals;
 mod attribution;
+pub mod buffer_shares;
 pub mod crashes;
 mod decimal;
 pub mod endpoint_key;
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -11,6 +11,7 @@
 mod fixture;
 mod format;
 mod gateway_addresses;
+mod gateway_buffer_shares;
 mod gateway_crash_load;
 mod gateway_crashes;
 mod gateway_endpoint_speed;
--- a/papayatrayd/src/gateway/api.rs
+++ b/papayatrayd/src/gateway/api.rs
@@ -22,6 +22,8 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
+use super::body::read_body_within;
+use super::buffers::BufferSource;
 use super::operator::OperatorError;
 use super::operator::OperatorService;
 use super::server::Handler;
@@ -29,11 +31,14 @@
 use super::server::Limits;
 use super::server::ResponseFuture;
 use super::server::full_response;
-use super::server::read_body;
 use super::state::Gateway;
 
 /// Size limit of a request body; several times the size of a plan with a thousand routes.
 const MAX_BODY_BYTES: usize = 8 << 20;
+/// Size limit of an endpoint's announcement.
+const MAX_ANNOUNCEMENT_BYTES: usize = 256 << 10;
+/// Time within which a request body must arrive.
+const BODY_TIMEOUT: Millis = Millis::from_secs(10);
 /// Limits of each connection.
 const LIMITS: Limits = Limits {
     head: 16 << 10,
@@ -84,11 +89,17 @@
 
     async fn respond(&self, request: Request<Incoming>) -> Response<HandlerBody> {
         let (head, body) = request.into_parts();
-        let body = match read_body(body, MAX_BODY_BYTES).await {
+        let path: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
+        let (source, limit) = if path.get(1) == Some(&"endpoints") {
+            (BufferSource::Announcements, MAX_ANNOUNCEMENT_BYTES)
+        } else {
+            (BufferSource::Operators, MAX_BODY_BYTES)
+        };
+        let reservation = self.operator.buffers.reservation(source);
+        let body = match read_body_within(body, limit, reservation, BODY_TIMEOUT).await {
             Ok(body) => body,
-            Err(error) => return error_response(StatusCode::BAD_REQUEST, &error.to_string()),
+            Err(error) => return error_response(error.status(), &error.to_string()),
         };
-        let path: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
         let result = match (&head.method, path.as_slice()) {
             (&Method::PUT, ["v1", "plan"]) => self.publish_plan(&body).await,
             (&Method::GET, ["v1", "plan"]) => self.read_plan().await,
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -16,6 +16,7 @@
 
 use super::attempt::InFlightAttempt;
 use super::attempt::StartedResponse;
+use super::body::BodyError;
 use super::connection_pool::EndpointResponse;
 use super::connection_pool::ExchangeError;
 use super::connection_pool::OutgoingRequest;
@@ -23,6 +24,7 @@
 use super::fleet::Prompt;
 use super::fleet::SelectedEndpoint;
 use super::refusal::Refusal;
+use super::routed_request::BUSY_RETRY_AFTER;
 use super::routed_request::NO_ENDPOINT_RETRY_AFTER;
 use super::routed_request::POISON_RETRY_AFTER;
 use super::routed_request::RoutedRequest;
@@ -36,8 +38,6 @@
 const MIN_REMAINING: Millis = Millis::new(20);
 /// Endpoints that may reject a request or be unreachable before the request is refused.
 const MAX_REJECTIONS: u32 = 5;
-/// `Retry-After` of a request that the endpoints rejected or that exhausted the retry budget.
-const BUSY_RETRY_AFTER: Millis = Millis::new(250);
 
 /// Reason of the refusal of a request whose home regions have no endpoint for it.
 const NO_HOME_REASON: &str = "no endpoint in the home regions of the request can take it";
@@ -45,6 +45,38 @@
 const QUARANTINE_REASON: &str =
     "the request or a part of its prompt is quarantined: endpoints crashed on it";
 
+/// Why a response that had started is of no use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BreakCause {
+    /// The connection was lost, as by a crash of the endpoint.
+    Lost,
+    /// The response breaks a rule or a limit.
+    Invalid,
+    /// This entry has no memory for it.
+    NoMemory,
+}
+
+impl From<&BodyError> for BreakCause {
+    fn from(error: &BodyError) -> Self {
+        match error {
+            BodyError::CutOff(_) => Self::Lost,
+            error if error.is_fault_of_sender() => Self::Invalid,
+            _ => Self::NoMemory,
+        }
+    }
+}
+
+impl BreakCause {
+    /// Returns the reason why the request fails if it may not be retried.
+    pub(super) const fn reason(self) -> &'static str {
+        match self {
+            Self::Lost => "the endpoint cut off its response",
+            Self::Invalid => "the response of the endpoint exceeds a limit",
+            Self::NoMemory => "this entry has no memory for the response of the endpoint",
+        }
+    }
+}
+
 /// State of one request over all its attempts.
 #[derive(Debug)]
 pub(super) struct Attempts {
@@ -471,11 +503,21 @@
         }
     }
 
-    /// Records that a started response was cut off; returns whether the request may be retried.
-    pub(super) fn record_broken_response(&mut self, attempt: &InFlightAttempt) -> bool {
-        self.has_lost_connection = true;
-        attempt.record_failure();
-        self.gateway.detect_crash(attempt.lost(&self.request));
+    /// Records that a started response is of no use; returns whether the request may be retried.
+    pub(super) fn record_broken_response(
+        &mut self,
+        attempt: &InFlightAttempt,
+        cause: BreakCause,
+    ) -> bool {
+        if cause == BreakCause::Lost {
+            self.has_lost_connection = true;
+            self.gateway.detect_crash(attempt.lost(&self.request));
+        } else {
+            self.gateway.metrics.count_event("response_refused");
+        }
+        if cause != BreakCause::NoMemory {
+            attempt.record_failure();
+        }
         self.excluded.push(attempt.endpoint.id.clone());
         self.can_retry()
     }
--- a/papayatrayd/src/gateway/daemon.rs
+++ b/papayatrayd/src/gateway/daemon.rs
@@ -22,6 +22,7 @@
 use smol::channel;
 use smol::net::TcpListener;
 
+use super::buffers::BufferPool;
 use super::control_state::ControlState;
 use super::control_state::ControlStateObserver;
 use super::controller::RolloutController;
@@ -105,6 +106,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Limits and intervals of the deployment.
     pub bounds: Bounds,
+    /// Memory that the process may use in bytes, if it is known.
+    pub memory: Option<u64>,
 }
 
 /// Constructor of a listener's handler from the state of its process.
@@ -201,6 +204,7 @@
         gateway.traced_permille = role.traced_permille;
         gateway.size = role.size;
         gateway.regions = role.regions;
+        gateway.buffers = Arc::new(BufferPool::of_process(identity.memory));
         if let Some(address) = role.peer_address {
             gateway.enable_hops(address, key.clone());
         }
@@ -366,6 +370,7 @@
             role.peer_address.to_string(),
             Arc::clone(&peers),
             replicas_by_vm(&identity.seeds),
+            Arc::new(BufferPool::of_process(identity.memory)),
         ));
         for (address, make_handler) in role.listeners {
             let listener = bind(address).await?;
--- a/papayatrayd/src/gateway/events.rs
+++ b/papayatrayd/src/gateway/events.rs
@@ -3,8 +3,14 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use super::body::BodyError;
+use super::body::FrameMeter;
+use super::buffers::Reservation;
+
 /// Size limit of one event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Unit in which memory is reserved; that of a stream whose events are shorter is reserved once.
+const RESERVED_UNIT_BYTES: usize = 4 << 10;
 
 /// Server-sent event, with its bytes as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,9 +25,12 @@
 ///
 /// Comments and empty lines between events are returned with the event that follows them: alone they
 /// are no progress of the stream.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventReader {
     buffer: BytesMut,
+    reservation: Reservation,
+    /// Frames since the end of the last event.
+    meter: FrameMeter,
     /// Length of the comments and empty lines at the start of the buffer.
     skipped: usize,
     /// Length of the part of the buffer in which no event ends.
@@ -29,10 +38,32 @@
 }
 
 impl EventReader {
-    /// Appends bytes; returns whether those buffered are within the size limit of an event.
-    pub fn push(&mut self, bytes: &[u8]) -> bool {
+    /// Creates a reader whose buffer counts towards `reservation`.
+    pub fn new(reservation: Reservation) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            reservation,
+            meter: FrameMeter::new(MAX_EVENT_BYTES),
+            skipped: 0,
+            scanned: 0,
+        }
+    }
+
+    /// Appends the bytes of a frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns the limit that the event exceeds with them.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), BodyError> {
+        self.meter.count(bytes.len())?;
+        let needed = self.buffer.len() + bytes.len();
+        if needed > self.buffer.capacity() {
+            let grown = needed.max(self.buffer.capacity() * 2);
+            let grown = grown.next_multiple_of(RESERVED_UNIT_BYTES);
+            self.reservation.extend_to(grown)?;
+        }
         self.buffer.extend_from_slice(bytes);
-        self.buffer.len() <= MAX_EVENT_BYTES
+        Ok(())
     }
 
     /// Returns the next complete event, if there is one.
@@ -51,7 +82,7 @@
             }
             self.skipped = 0;
             self.scanned = 0;
-            let bytes = self.buffer.split_to(end).freeze();
+            let bytes = self.take(end);
             return Some(StreamEvent {
                 id: event_id(&bytes),
                 bytes,
@@ -59,6 +90,20 @@
         }
     }
 
+    /// Removes and returns the first `length` bytes.
+    fn take(&mut self, length: usize) -> Bytes {
+        self.meter.restart(self.buffer.len() - length);
+        if length <= RESERVED_UNIT_BYTES {
+            return self.buffer.split_to(length).freeze();
+        }
+        // The rest moves to a buffer of its own, as both would keep all of the memory otherwise.
+        let rest = BytesMut::from(&self.buffer[length..]);
+        let mut taken = std::mem::replace(&mut self.buffer, rest);
+        taken.truncate(length);
+        let kept = self.buffer.capacity().next_multiple_of(RESERVED_UNIT_BYTES);
+        self.reservation.split_off(kept).attach(taken)
+    }
+
     /// Returns whether bytes of an incomplete event or comment are buffered.
     pub fn has_partial_event(&self) -> bool {
         self.buffer.len() > self.skipped
@@ -68,7 +113,7 @@
     pub fn take_comments(&mut self) -> Bytes {
         self.skipped = 0;
         self.scanned = 0;
-        self.buffer.split().freeze()
+        self.take(self.buffer.len())
     }
 }
 
--- a/papayatrayd/src/gateway/hop/server.rs
+++ b/papayatrayd/src/gateway/hop/server.rs
@@ -24,6 +24,8 @@
 use super::header;
 use super::header::HopFailure;
 use super::header::HopTarget;
+use crate::gateway::body::read_body;
+use crate::gateway::buffers::BufferSource;
 use crate::gateway::connection_pool::EndpointResponse;
 use crate::gateway::connection_pool::ExchangeError;
 use crate::gateway::connection_pool::OutgoingRequest;
@@ -34,7 +36,6 @@
 use crate::gateway::server::Limits;
 use crate::gateway::server::ResponseFuture;
 use crate::gateway::server::full_response;
-use crate::gateway::server::read_body;
 use crate::gateway::state::Gateway;
 use crate::gateway::state::InFlightGuard;
 use crate::gateway::state::ShutdownStage;
@@ -96,7 +97,8 @@
         header::remove_all(&mut head.headers);
         let metadata = self.gateway.dialect.request_metadata(&head);
         let id = metadata.map_err(|_invalid| HopFailure::Declined)?.id;
-        let body = read_body(body, self.plan_limits().body).await;
+        let reservation = self.gateway.buffers.reservation(BufferSource::Entries);
+        let body = read_body(body, self.plan_limits().body, reservation).await;
         let body = body.map_err(|_cut_off| HopFailure::Declined)?;
         let endpoint = self.find_endpoint(&target)?;
         let outgoing = OutgoingRequest {
--- a/papayatrayd/src/gateway/metrics.rs
+++ b/papayatrayd/src/gateway/metrics.rs
@@ -65,6 +65,8 @@
     pub format_lowest: u16,
     /// Evacuated data centres.
     pub evacuated: usize,
+    /// Bytes reserved for buffered bodies.
+    pub buffered: usize,
 }
 
 /// Metrics of one gateway process.
@@ -87,6 +89,7 @@
     format_level: Gauge,
     format_lowest: Gauge,
     evacuated: Gauge,
+    buffered: Gauge,
     dropped_lines: Gauge,
     suppressed_lines: Gauge,
 }
@@ -111,6 +114,7 @@
             format_level: Gauge::default(),
             format_lowest: Gauge::default(),
             evacuated: Gauge::default(),
+            buffered: Gauge::default(),
             dropped_lines: Gauge::default(),
             suppressed_lines: Gauge::default(),
         };
@@ -190,6 +194,11 @@
                 "Data centres whose endpoints get no new requests",
                 &self.evacuated,
             ),
+            (
+                "buffered_bytes",
+                "Memory reserved for buffered bodies",
+                &self.buffered,
+            ),
             (
                 "log_lines_dropped",
                 "Log lines dropped because the queue was full",
@@ -249,6 +258,7 @@
         self.format_level.set(i64::from(values.format_level));
         self.format_lowest.set(i64::from(values.format_lowest));
         self.evacuated.set(to_gauge(values.evacuated as u64));
+        self.buffered.set(to_gauge(values.buffered as u64));
         self.dropped_lines.set(to_gauge(dropped));
         self.suppressed_lines.set(to_gauge(suppressed));
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
--- a/papayatrayd/src/gateway/operator.rs
+++ b/papayatrayd/src/gateway/operator.rs
@@ -31,6 +31,7 @@
 use smol::channel;
 use smol::future::FutureExt;
 
+use super::buffers::BufferPool;
 use super::control_state::ControlState;
 use super::metrics::GatewayMetrics;
 use super::metrics::GaugeValues;
@@ -92,6 +93,8 @@
     pub state: Arc<ControlState>,
     /// Metrics.
     pub metrics: GatewayMetrics,
+    /// Memory for buffered bodies.
+    pub buffers: Arc<BufferPool>,
     /// Peer address of this replica.
     peer_address: String,
     peers: Arc<Peers>,
@@ -104,10 +107,12 @@
         peer_address: String,
         peers: Arc<Peers>,
         controls: BTreeMap<VmId, String>,
+        buffers: Arc<BufferPool>,
     ) -> Self {
         Self {
             state,
             metrics: GatewayMetrics::default(),
+            buffers,
             peer_address,
             leader: LeaderClient::new(Arc::clone(&peers), controls),
             peers,
@@ -130,6 +135,7 @@
             format_level: self.state.level().0,
             format_lowest: self.state.lowest_level().0,
             evacuated: self.state.evacuations().len(),
+            buffered: self.buffers.used(),
             ..GaugeValues::default()
         })
     }
--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -22,9 +22,16 @@
 
 use super::attempt::StartedResponse;
 use super::attempts::Attempts;
+use super::attempts::BreakCause;
+use super::body::BodyError;
+use super::body::read_body;
+use super::body::read_body_within;
+use super::buffers::BufferSource;
+use super::buffers::Reservation;
 use super::dialect::Dialect;
 use super::dialect::RequestMetadata;
 use super::refusal::Refusal;
+use super::routed_request::BUSY_RETRY_AFTER;
 use super::routed_request::NO_ENDPOINT_RETRY_AFTER;
 use super::routed_request::RoutedRequest;
 use super::routed_request::outdated_plan_refusal;
@@ -33,7 +40,6 @@
 use super::server::HandlerBody;
 use super::server::Limits;
 use super::server::ResponseFuture;
-use super::server::read_body;
 use super::state::Gateway;
 use super::state::InFlightGuard;
 use super::state::ShutdownStage;
@@ -153,7 +159,9 @@
         in_flight: InFlightGuard,
     ) -> Result<Response<HandlerBody>, Refusal> {
         let remaining = request.remaining(self.gateway.clock.now());
-        request.set_body(read_request_body(body, limits.body, remaining).await?);
+        let reservation = self.gateway.buffers.reservation(request.buffer_source());
+        let body = read_request_body(body, limits.body, reservation, remaining).await;
+        request.set_body(body.inspect_err(|_| self.gateway.metrics.count_event("body_refused"))?);
         let is_stream = request.route.kind.is_stream();
         let attempts = Attempts::new(Arc::clone(&self.gateway), Arc::new(request));
         if is_stream {
@@ -190,28 +198,31 @@
 async fn read_request_body(
     body: Incoming,
     limit: usize,
+    reservation: Reservation,
     remaining: Millis,
 ) -> Result<Bytes, Refusal> {
-    let reading = async {
-        read_body(body, limit).await.map_err(|error| {
-            if error.is::<http_body_util::LengthLimitError>() {
-                Refusal::ClientError(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "the request body exceeds the size limit of the plan",
-                )
-            } else {
-                Refusal::ClientError(StatusCode::BAD_REQUEST, "the request body was cut off")
-            }
-        })
-    };
-    let timeout = async {
-        Timer::after(remaining.to_duration()).await;
-        Err(Refusal::NotRun(
+    let body = read_body_within(body, limit, reservation, remaining).await;
+    body.map_err(|error| match error {
+        BodyError::TooLarge(_) => Refusal::ClientError(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the request body exceeds the size limit of the plan",
+        ),
+        BodyError::Fragmented => Refusal::ClientError(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the request body consists of too many pieces of a few bytes",
+        ),
+        BodyError::Exhausted(_) => Refusal::NotRun(
+            "other request bodies take up the memory for buffers",
+            BUSY_RETRY_AFTER,
+        ),
+        BodyError::CutOff(_) => {
+            Refusal::ClientError(StatusCode::BAD_REQUEST, "the request body was cut off")
+        }
+        BodyError::TimedOut(_) => Refusal::NotRun(
             "the request body did not arrive before the deadline",
             NO_ENDPOINT_RETRY_AFTER,
-        ))
-    };
-    reading.or(timeout).await
+        ),
+    })
 }
 
 /// Responds once the whole response of an endpoint has been read.
@@ -268,7 +279,10 @@
     mut started: StartedResponse,
 ) -> Result<Option<Response<HandlerBody>>, Refusal> {
     let remaining = attempts.request.remaining(attempts.gateway.clock.now());
-    let reading = async { Some(read_body(&mut started.body, MAX_BUFFERED_BYTES).await) };
+    let source = BufferSource::Endpoint(started.attempt.endpoint.id.clone());
+    let reservation = attempts.gateway.buffers.reservation(source);
+    let reading =
+        async { Some(read_body(&mut started.body, MAX_BUFFERED_BYTES, reservation).await) };
     let timeout = async {
         Timer::after(remaining.to_duration()).await;
         None
@@ -280,17 +294,19 @@
         }
         Some(Err(error)) => {
             event(
-                Level::Debug,
-                "answer_cut",
+                Level::Info,
+                "answer_broken",
                 &[
                     ("request", &attempts.request.metadata.id),
+                    ("endpoint", &started.attempt.endpoint.id),
                     ("error", &error),
                 ],
             );
-            if attempts.record_broken_response(&started.attempt) {
+            let cause = BreakCause::from(&error);
+            if attempts.record_broken_response(&started.attempt, cause) {
                 Ok(None)
             } else {
-                Err(Refusal::Failed("the endpoint cut off its response"))
+                Err(Refusal::Failed(cause.reason()))
             }
         }
         Some(Ok(body)) => {
--- a/papayatrayd/src/gateway/routed_request.rs
+++ b/papayatrayd/src/gateway/routed_request.rs
@@ -19,6 +19,7 @@
 use papayatray_core::id::OrganisationId;
 use papayatray_core::id::ServiceId;
 
+use super::buffers::BufferSource;
 use super::dialect::RequestMetadata;
 use super::dialect::RequestedModel;
 use super::refusal::Refusal;
@@ -31,6 +32,9 @@
 const STALE_RETRY_AFTER: Millis = Millis::new(900);
 /// `Retry-After` of a quarantined request.
 pub(super) const POISON_RETRY_AFTER: Millis = Millis::from_secs(60);
+/// `Retry-After` of a request that the endpoints rejected, that exhausted the retry budget or for
+/// whose body there is no memory.
+pub(super) const BUSY_RETRY_AFTER: Millis = Millis::new(250);
 /// `Retry-After` while no endpoint can take a request.
 pub(super) const NO_ENDPOINT_RETRY_AFTER: Millis = Millis::new(600);
 
@@ -143,6 +147,14 @@
         })
     }
 
+    /// Returns whose share of the buffers the body takes up.
+    pub(super) fn buffer_source(&self) -> BufferSource {
+        self.organisation.clone().map_or_else(
+            || BufferSource::PublicRoute(self.route.name.clone()),
+            BufferSource::Organisation,
+        )
+    }
+
     /// Sets the body, and the fingerprint that depends on it.
     pub(super) fn set_body(&mut self, body: Bytes) {
         let mut hasher = blake3::Hasher::new();
--- a/papayatrayd/src/gateway/server.rs
+++ b/papayatrayd/src/gateway/server.rs
@@ -13,10 +13,8 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body::Body;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -96,18 +94,6 @@
     response
 }
 
-/// Reads a body of at most `limit` bytes to its end.
-///
-/// # Errors
-///
-/// Returns a [`http_body_util::LengthLimitError`] for a longer body, or the error that cut it off.
-pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, Box<dyn Error + Send + Sync>>
-where
-    B: Body<Data = Bytes, Error = hyper::Error>,
-{
-    Ok(Limited::new(body, limit).collect().await?.to_bytes())
-}
-
 /// Accepts connections on `listener` until the handler's close event, or until the process ends.
 pub async fn serve_http(listener: TcpListener, handler: Arc<dyn Handler>, tasks: Tasks) {
     serve(listener, handler, None, tasks).await;
--- a/papayatrayd/src/gateway/settings.rs
+++ b/papayatrayd/src/gateway/settings.rs
@@ -22,6 +22,11 @@
 /// Minimum length of the cluster secret, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
+/// Unit of [`GatewaySettings::memory`], in bytes.
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+/// Range of [`GatewaySettings::memory`]: a process needs about ten megabytes by itself.
+const MEMORY_RANGE: std::ops::RangeInclusive<u64> = 32..=1_000_000;
+
 /// Reason why a settings file cannot be used.
 #[derive(Debug, Display)]
 pub enum GatewaySettingsError {
@@ -49,6 +54,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Address on which metrics are served, if any.
     pub metrics_address: Option<SocketAddr>,
+    /// Memory that the process may use, in megabytes, if it is limited; a quarter of it is for bodies
+    /// that are buffered whole.
+    pub memory: Option<u64>,
     /// Settings of the entry role; exactly one role must be set.
     pub entry: Option<EntryRoleSettings>,
     /// Settings of the control role; exactly one role must be set.
@@ -197,6 +205,12 @@
                 "16 bytes or more",
             ),
             (!self.seeds.is_empty(), "seeds", "one address or more"),
+            (
+                self.memory
+                    .is_none_or(|megabytes| MEMORY_RANGE.contains(&megabytes)),
+                "memory",
+                "32 to 1000000 megabytes",
+            ),
             (
                 self.entry.is_some() != self.control.is_some(),
                 "entry, control",
@@ -246,6 +260,7 @@
             secret: self.cluster_secret.expose().to_owned(),
             seeds: self.seeds.clone(),
             bounds: self.bounds.into(),
+            memory: self.memory.map(|megabytes| megabytes * BYTES_PER_MEGABYTE),
         }
     }
 }
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -53,6 +53,7 @@
 pub(super) use self::crashes::LostAttempt;
 pub(super) use self::crashes::log_changes;
 pub(super) use self::entries::InFlightGuard;
+use super::buffers::BufferPool;
 use super::connection_pool::ConnectionPool;
 use super::dialect::Dialect;
 use super::fleet::Fleet;
@@ -137,6 +138,8 @@
     pub size: u32,
     /// Regions of the data centres.
     pub regions: Regions,
+    /// Memory for buffered bodies.
+    pub buffers: Arc<BufferPool>,
     /// Clock.
     pub clock: Arc<dyn Clock>,
     /// Executor of background tasks.
@@ -216,6 +219,7 @@
             caller_address,
             size: 0,
             regions: Regions::default(),
+            buffers: Arc::default(),
             incarnation: Incarnation(clock.wall().as_u64()),
             connections: ConnectionPool::new(tasks.clone()),
             metrics: GatewayMetrics::default(),
@@ -328,6 +332,7 @@
             unreachable: self.fleet().unreachable_count(),
             evacuated,
             cold,
+            buffered: self.buffers.used(),
             ..GaugeValues::default()
         })
     }
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -22,6 +22,8 @@
 
 use super::attempt::StartedResponse;
 use super::attempts::Attempts;
+use super::attempts::BreakCause;
+use super::buffers::BufferSource;
 use super::events::EventReader;
 use super::events::StreamEvent;
 use super::refusal::Refusal;
@@ -53,7 +55,7 @@
     Event(StreamEvent),
     End,
     /// The endpoint's stream broke off or stalled, for this reason.
-    Broken(&'static str),
+    Broken(BreakCause, &'static str),
     TimedOut,
 }
 
@@ -131,7 +133,7 @@
             continue;
         }
         if !started.metadata.has_run {
-            if attempts.record_broken_response(&started.attempt) {
+            if attempts.record_broken_response(&started.attempt, BreakCause::Invalid) {
                 continue;
             }
             return Err(Refusal::Failed(
@@ -156,9 +158,9 @@
             }
             StreamItem::TimedOut => return Err(Refusal::TimedOut),
             StreamItem::End => return Err(Refusal::Failed("the stream ended without an event")),
-            StreamItem::Broken(reason) => {
+            StreamItem::Broken(cause, reason) => {
                 log_break(&attempts, &stream, reason);
-                if !attempts.record_broken_response(&stream.started.attempt) {
+                if !attempts.record_broken_response(&stream.started.attempt, cause) {
                     return Err(Refusal::Failed(
                         "the endpoint cut off its stream before the first event",
                     ));
@@ -260,11 +262,11 @@
                     self.record_stream_time();
                     return Err(StreamError::TimedOut);
                 }
-                StreamItem::Broken(reason) => {
+                StreamItem::Broken(cause, reason) => {
                     log_break(&self.attempts, &stream, reason);
                     if !self
                         .attempts
-                        .record_broken_response(&stream.started.attempt)
+                        .record_broken_response(&stream.started.attempt, cause)
                     {
                         self.outcome = "broken";
                         return Err(StreamError::Broken);
@@ -308,7 +310,10 @@
                 self.stream = Some(EndpointStream::new(started));
                 return Ok(());
             }
-            if !self.attempts.record_broken_response(&started.attempt) {
+            if !self
+                .attempts
+                .record_broken_response(&started.attempt, BreakCause::Invalid)
+            {
                 return Err(StreamError::Broken);
             }
         }
@@ -369,10 +374,12 @@
 
 impl EndpointStream {
     fn new(started: StartedResponse) -> Self {
+        let gateway = &started.attempt.gateway;
+        let source = BufferSource::Endpoint(started.attempt.endpoint.id.clone());
         Self {
-            last_progress: started.attempt.gateway.clock.now(),
+            last_progress: gateway.clock.now(),
+            reader: EventReader::new(gateway.buffers.reservation(source)),
             started,
-            reader: EventReader::default(),
             pace: PaceMeter::default(),
             gaps: GapMeter::default(),
         }
@@ -414,7 +421,7 @@
                 .stall_timeout()
                 .since(now.since(self.last_progress));
             if stall_remaining == Millis::ZERO {
-                return StreamItem::Broken("no event came for too long");
+                return StreamItem::Broken(BreakCause::Lost, "no event came for too long");
             }
             let limit = remaining.min(stall_remaining);
             let reading = async { Some(self.started.body.frame().await) };
@@ -424,15 +431,22 @@
             };
             match reading.or(timeout).await {
                 Some(Some(Ok(frame))) => {
-                    let is_within_limit =
-                        frame.data_ref().is_none_or(|bytes| self.reader.push(bytes));
-                    if !is_within_limit {
-                        return StreamItem::Broken("an event exceeds the size limit");
+                    let Some(bytes) = frame.data_ref() else {
+                        continue;
+                    };
+                    if let Err(error) = self.reader.push(bytes) {
+                        let cause = BreakCause::from(&error);
+                        return StreamItem::Broken(cause, "an event exceeds a limit");
                     }
                 }
-                Some(Some(Err(_))) => return StreamItem::Broken("the connection was lost"),
+                Some(Some(Err(_))) => {
+                    return StreamItem::Broken(BreakCause::Lost, "the connection was lost");
+                }
                 Some(None) if self.reader.has_partial_event() => {
-                    return StreamItem::Broken("the stream ended within an event");
+                    return StreamItem::Broken(
+                        BreakCause::Lost,
+                        "the stream ended within an event",
+                    );
                 }
                 Some(None) => return StreamItem::End,
                 // The next iteration finds out whether the deadline or the stall time-out expired.
--- a/papayatrayd/tests/gateway/endless.rs
+++ b/papayatrayd/tests/gateway/endless.rs
@@ -110,6 +110,80 @@
     assert_endless_is_left(&endless(head, block), "/safe/x", "whole");
 }
 
+#[test]
+fn endless_chunks_of_one_byte_are_no_response() {
+    let block = chunk("a").repeat(BLOCK_BYTES / 8);
+    for path in ["/safe/x", "/stream/x"] {
+        let head = |request: &ReceivedRequest| stream_head(request, 90);
+        let expected = if path == "/safe/x" { "whole" } else { "id: 3" };
+        assert_endless_is_left(&endless(head, block.clone()), path, expected);
+    }
+}
+
+/// Guards against an endpoint that is asked again and again although none of its responses ends.
+#[test]
+fn endpoint_of_endless_responses_gets_few_requests() {
+    let block = chunk("a").repeat(BLOCK_BYTES / 8);
+    let endless = endless(|request| stream_head(request, 90), block);
+    let (one, other) = (healthy(), healthy());
+    let rig = Rig::start(&[&endless, &one, &other]);
+    let is_failed = || rig.request("/once/x", "").status == 502;
+    assert!((0..1_000).any(|_| is_failed()), "no request failed");
+    let failed = 1 + (0..100).filter(|_| is_failed()).count();
+    assert!(failed <= 5, "{failed} requests failed");
+    assert_eq!(endless.requests().len(), failed);
+}
+
+/// Guards against limits that refuse a response of the largest size in the chunks of a usual server.
+#[test]
+fn longest_response_in_small_chunks_is_forwarded_whole() {
+    const LONGEST_BYTES: usize = 4 << 20;
+    for chunk_bytes in [64, 1_460, 8 << 10, 64 << 10] {
+        let endpoint = FakeEndpoint::start(move |_, request| {
+            let mut body = chunk(&"a".repeat(chunk_bytes)).repeat(LONGEST_BYTES / chunk_bytes);
+            let rest = LONGEST_BYTES % chunk_bytes;
+            if rest > 0 {
+                body.extend(chunk(&"a".repeat(rest)));
+            }
+            body.extend(b"0\r\n\r\n");
+            vec![Step::Send(stream_head(request, 90)), Step::Send(body)]
+        });
+        let rig = Rig::start(&[&endpoint]);
+        let received = rig.request("/safe/x", "Papayatray-Deadline-Ms: 20000\r\n");
+        assert_eq!(received.status, 200, "{chunk_bytes}: {}", received.head);
+        assert_eq!(received.body.len(), LONGEST_BYTES, "{chunk_bytes}");
+    }
+}
+
+/// Guards against memory that stays reserved after the bodies have been forwarded.
+#[test]
+fn memory_of_forwarded_bodies_is_released() {
+    let endpoint = FakeEndpoint::start(|_, request| {
+        let text = "a".repeat(300 << 10);
+        if request.head.contains(" /stream/") {
+            let event = chunk(&format!("id: 1\ndata: {text}\n\n"));
+            let end = b"0\r\n\r\n".to_vec();
+            return vec![
+                Step::Send(stream_head(request, 90)),
+                Step::Send([event, end].concat()),
+            ];
+        }
+        vec![Step::Send(response(request, "200 OK", &text))]
+    });
+    let rig = Rig::start(&[&endpoint]);
+    for path in ["/safe/x", "/stream/x"] {
+        let received = rig.request_with_body(path, "", &"b".repeat(10_000));
+        assert_eq!(received.status, 200, "{}", received.head);
+        assert!(received.body.len() >= 300 << 10);
+    }
+    let mut waits = 0;
+    while rig.gateway.buffers.used() > 0 {
+        waits += 1;
+        assert!(waits < 1_000, "{} bytes", rig.gateway.buffers.used());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 #[test]
 fn endless_stream_without_an_event_is_no_response() {
     let head = |request: &ReceivedRequest| stream_head(request, 90);
--- a/papayatrayd/tests/processes/main.rs
+++ b/papayatrayd/tests/processes/main.rs
@@ -6,4 +6,5 @@
 mod crashes;
 mod evacuations;
 mod faults;
+mod memory;
 mod site;
--- a/papayatrayd/tests/processes/site.rs
+++ b/papayatrayd/tests/processes/site.rs
@@ -20,6 +20,9 @@
 /// Time-out of waits; generous, because the tests do not check how fast something happens.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Memory that each process may use, in megabytes.
+pub const MEMORY_MB: u64 = 110;
+
 /// Secret that all processes of a site share.
 pub const SECRET: &str = "0123456789abcdef";
 
@@ -104,7 +107,7 @@
     fn add(&mut self, name: &str, seeds: &[SocketAddr], role_table: &str) {
         let settings = format!(
             "vm = \"{name}\"\ndata_centre = \"here\"\n\
-             cluster_secret = \"{SECRET}\"\nseeds = {:?}\n{role_table}\
+             cluster_secret = \"{SECRET}\"\nmemory = {MEMORY_MB}\nseeds = {:?}\n{role_table}\
              [bounds]\ngrace = \"6s\"\nhold = \"200ms\"\n",
             seeds.iter().map(ToString::to_string).collect::<Vec<_>>(),
         );
@@ -164,6 +167,16 @@
         assert!(status.success(), "{name}: {status}");
     }
 
+    /// Returns the most memory that a running process has used so far, in megabytes.
+    pub fn peak_memory_mb(&self, name: &str) -> u64 {
+        let id = self.processes[name].child.as_ref().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        let kilobytes: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
+        kilobytes * 1_024 / 1_000_000
+    }
+
     /// Returns the log of a process.
     pub fn log(&self, name: &str) -> String {
         std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap()
@@ -198,7 +211,7 @@
             }],
             "services": {"app": {"connections": null, "costs": {}}},
             "organisations": {},
-            "limits": {"head": 16384, "body": 65536, "header_timeout": 5000, "idle_timeout": 9000},
+            "limits": {"head": 16384, "body": 4 << 20, "header_timeout": 5000, "idle_timeout": 9000},
         });
         self.call_operator("PUT", "/v1/plan", &plan.to_string());
     }
