fix(chat): give up a line of an event stream at the size limit of an event

An endpoint whose stream was one line without end took memory for as long as the time-out for progress allowed: the limit of 1 MiB for an event was checked after each line only, and the rest after the last event was read to the end of a line too.

The line is now read up to one byte beyond what the event may still have; what follows the last event is not buffered.

--- a/papayatray_standin/src/engine.rs
+++ b/papayatray_standin/src/engine.rs
@@ -70,6 +70,9 @@
     }
 }
 
+/// Bytes of a line without end that are sent at once.
+const ENDLESS_BLOCK_BYTES: usize = 64 << 10;
+
 /// Fault that an engine simulates.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -83,6 +86,8 @@
     Fail,
     /// Each response carries the id of another attempt.
     WrongAttempt,
+    /// Each new stream is a line that never ends.
+    EndlessLine,
 }
 
 /// Response that an engine streams and that can be resumed under its attempt id.
@@ -105,6 +110,8 @@
     running: u32,
     /// Highest number of streams that ever ran at once.
     max_running: u32,
+    /// Bytes of lines without end that were sent.
+    endless_bytes: usize,
     fault: Fault,
     /// Highest fencing token of the accepted orders.
     highest_fence: u64,
@@ -173,6 +180,11 @@
         self.inner.state().prompts.clone()
     }
 
+    /// Returns the number of bytes of lines without end that were sent.
+    pub fn endless_bytes(&self) -> usize {
+        self.inner.state().endless_bytes
+    }
+
     /// Returns the number of cancel requests received, also for unknown streams.
     pub fn cancel_requests(&self) -> u64 {
         self.inner.state().cancel_requests
@@ -285,6 +297,12 @@
     ) {
         let _running = RunningGuard::new(&self);
         let mut number = last_event + 1;
+        if fault == Fault::EndlessLine {
+            while chunks.send(vec![b'x'; ENDLESS_BLOCK_BYTES]).await.is_ok() {
+                self.state().endless_bytes += ENDLESS_BLOCK_BYTES;
+            }
+            return;
+        }
         while let Some(event) = generation.script.event(number, &generation.version) {
             if fault == Fault::StallAfter(number - 1 - last_event) {
                 // The stream stalls without an error after this many events.
--- a/papayatrayd/src/engine/event_source.rs
+++ b/papayatrayd/src/engine/event_source.rs
@@ -9,6 +9,7 @@
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::io::AsyncBufReadExt;
+use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
 use super::ConnectionPool;
@@ -123,10 +124,9 @@
 
     /// Reads the response to its end after the last event and returns the connection to the pool.
     pub async fn finish(mut self) {
-        let mut rest = Vec::new();
         let reading = async {
-            let read = self.response.read_until(b'\n', &mut rest).await;
-            matches!(read, Ok(0))
+            let rest = self.response.fill_buf().await;
+            rest.is_ok_and(<[u8]>::is_empty)
         };
         let timeout = async {
             Timer::after(self.progress_timeout.to_duration()).await;
@@ -212,13 +212,16 @@
     let mut line = Vec::new();
     loop {
         line.clear();
-        let read = response.read_until(b'\n', &mut line).await;
+        // One byte more than an event may have left, so that a longer line is told from the end.
+        let limit = MAX_EVENT_BYTES.saturating_sub(event.data.len()) as u64 + 1;
+        let mut limited = (&mut *response).take(limit);
+        let read = limited.read_until(b'\n', &mut line).await;
         match read {
             Ok(0) | Err(_) => return Err(ReadError::Closed),
-            Ok(_) if !line.ends_with(b"\n") => return Err(ReadError::Closed),
             Ok(_) if event.data.len() + line.len() > MAX_EVENT_BYTES => {
                 return Err(ReadError::Malformed);
             }
+            Ok(_) if !line.ends_with(b"\n") => return Err(ReadError::Closed),
             Ok(_) => {}
         }
         let text = line.trim_ascii_end();
--- a/papayatrayd/tests/faults/endpoints.rs
+++ b/papayatrayd/tests/faults/endpoints.rs
@@ -41,6 +41,20 @@
     });
 }
 
+/// Guards against a line of an event stream that is buffered for as long as it goes on.
+#[test]
+fn endless_line_of_a_stream_is_given_up_at_the_size_limit_of_an_event() {
+    const MAX_SENT_BYTES: usize = 16 << 20;
+    smol::block_on(async {
+        let rig = Rig::start("endless", 3, 1).await;
+        rig.engines[0].set_fault(Fault::EndlessLine);
+        let response = rig.chat(0, "mine", false).await.unwrap();
+        let sent = rig.engines[0].endless_bytes();
+        assert!(sent < MAX_SENT_BYTES, "{sent} bytes were read");
+        assert_ne!(response.status, 200, "{response:?}");
+    });
+}
+
 #[test]
 fn requests_of_a_crashed_endpoint_are_retried_and_billed_once() {
     smol::block_on(async {
