feat(gateway): count the responses of releases by route, and log them when a roll-out ends

No decision changes. Entries report responses by route while a roll-out of the service runs, at most 32 routes; `rollout_ended` has the target's counts and those of the other releases, by route.

--- a/papayatray_bench/src/decisions/releases.rs
+++ b/papayatray_bench/src/decisions/releases.rs
@@ -470,7 +470,7 @@
             continue;
         }
         let vm: VmId = format!("vm-{index}").parse().expect("a name");
-        for (release, results) in ["v1", "v2"].into_iter().zip(entry.results) {
+        for (release, results) in ["v1", "v2"].into_iter().zip(entry.results.clone()) {
             let entries = all.entry(release.to_owned()).or_default();
             entries.insert((vm.clone(), Incarnation(1)), results);
         }
--- a/papayatray_core/src/gateway/release_evidence.rs
+++ b/papayatray_core/src/gateway/release_evidence.rs
@@ -18,7 +18,7 @@
 use crate::regression::Tally;
 
 /// Results of one release.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleaseResults {
     /// Whole responses and first events of streams: those in time, and those that failed or were
     /// slow.
@@ -28,11 +28,20 @@
     /// The same paces by their ratio to the usual one; none from a build that does not count them.
     #[serde(default)]
     pub ratios: RatioCounts,
+    /// The same responses by route, at most [`MAX_ROUTES`] of them; none from a build that does not
+    /// count them, or while no roll-out of the service is running.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub routes: BTreeMap<String, Tally>,
 }
 
 /// Results of one release, by the entry that counted them and its incarnation.
 pub type EntryResults = BTreeMap<(VmId, Incarnation), ReleaseResults>;
 
+/// Routes whose responses are counted apart; those of any further ones are counted together.
+const MAX_ROUTES: usize = 32;
+/// Name under which the responses of further routes are counted.
+const OTHER_ROUTES: &str = "";
+
 /// What decided that a release has regressed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Regression {
@@ -78,6 +87,8 @@
     has_streams: bool,
     /// Results of the target since the evidence began.
     total: ReleaseResults,
+    /// Results of the other releases since the evidence began.
+    others: ReleaseResults,
 }
 
 impl ReleaseEvidence {
@@ -94,6 +105,7 @@
             last_results: BTreeMap::new(),
             has_streams: false,
             total: ReleaseResults::default(),
+            others: ReleaseResults::default(),
         }
     }
 
@@ -107,6 +119,11 @@
         &self.total
     }
 
+    /// Returns the results of the other releases.
+    pub const fn others(&self) -> &ReleaseResults {
+        &self.others
+    }
+
     /// Returns whether much is known of the target; releases that send no streams give no paces.
     pub const fn is_ample(&self) -> bool {
         let Tally { good, bad } = self.total.paces;
@@ -136,8 +153,10 @@
                 (&mut others, &mut without_ratios[1])
             };
             for (entry, counted) in entries {
-                let earlier = before.and_then(|results| results.get(entry)).copied();
-                let added = counted.since(&earlier.unwrap_or_default());
+                let added = match before.and_then(|results| results.get(entry)) {
+                    Some(earlier) => counted.since(earlier),
+                    None => counted.clone(),
+                };
                 if counted.ratios.is_empty() {
                     paces.add(&added.paces);
                 }
@@ -151,6 +170,7 @@
             last.extend(entries);
         }
         self.total.add(&target);
+        self.others.add(&others);
         self.has_streams |= others.paces != Tally::default();
         let has_failed = self.responses.add(&target.responses, &others.responses);
         let [target_paces, other_paces] = without_ratios;
@@ -165,11 +185,23 @@
 }
 
 impl ReleaseResults {
+    /// Counts a whole response, or the first event of a stream, on a route.
+    pub fn count_response(&mut self, route: &str, is_good: bool) {
+        self.responses.count(is_good);
+        let is_known = self.routes.contains_key(route) || self.routes.len() < MAX_ROUTES;
+        let name = if is_known { route } else { OTHER_ROUTES };
+        self.routes
+            .entry(name.to_owned())
+            .or_default()
+            .count(is_good);
+    }
+
     fn since(&self, earlier: &Self) -> Self {
         Self {
             responses: self.responses.since(&earlier.responses),
             paces: self.paces.since(&earlier.paces),
             ratios: self.ratios.since(&earlier.ratios),
+            routes: self.routes_since(earlier),
         }
     }
 
@@ -177,6 +209,17 @@
         self.responses.add(&other.responses);
         self.paces.add(&other.paces);
         self.ratios.add(&other.ratios);
+        for (route, tally) in &other.routes {
+            self.routes.entry(route.clone()).or_default().add(tally);
+        }
+    }
+
+    fn routes_since(&self, earlier: &Self) -> BTreeMap<String, Tally> {
+        let mut routes = self.routes.clone();
+        for (route, tally) in &mut routes {
+            *tally = tally.since(&earlier.routes.get(route).copied().unwrap_or_default());
+        }
+        routes
     }
 }
 
--- a/papayatray_core/tests/core/gateway_slowness.rs
+++ b/papayatray_core/tests/core/gateway_slowness.rs
@@ -215,7 +215,7 @@
 /// requests; returns whether the release is rolled back.
 fn is_rolled_back(slowdown: u64) -> bool {
     let mut usual = UsualPaces::default();
-    let mut results = [ReleaseResults::default(); 2];
+    let mut results = [ReleaseResults::default(), ReleaseResults::default()];
     let mut evidence = ReleaseEvidence::new("v2");
     (0..45_u32).any(|step| {
         for stream in 0..10 {
@@ -224,8 +224,8 @@
         }
         count_stream(&mut usual, &mut results[1], 1 + step % 2, slowdown);
         let decision = evidence.record(BTreeMap::from([
-            ("v1".to_owned(), entry_results(results[0])),
-            ("v2".to_owned(), entry_results(results[1])),
+            ("v1".to_owned(), entry_results(results[0].clone())),
+            ("v2".to_owned(), entry_results(results[1].clone())),
         ]));
         decision == Some(Regression::Pace)
     })
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -198,7 +198,8 @@
             let prompt = self.prompt();
             let endpoint = self.pick_endpoint(prompt)?;
             let span = self.request.span.child("gateway.attempt");
-            let attempt = InFlightAttempt::new(&self.gateway, endpoint, prompt, span);
+            let route = &self.request.route.name;
+            let attempt = InFlightAttempt::new(&self.gateway, endpoint, prompt, route, span);
             if let Some(started) = self.send_to_endpoint(attempt).await? {
                 return Ok(started);
             }
--- a/papayatrayd/src/gateway/control_state/sync.rs
+++ b/papayatrayd/src/gateway/control_state/sync.rs
@@ -263,7 +263,7 @@
             for release_tally in tallies.iter().filter(|t| t.service == *service) {
                 let entry = (vm.clone(), info.incarnation);
                 let release = all.entry(release_tally.release.clone()).or_default();
-                release.insert(entry, release_tally.results);
+                release.insert(entry, release_tally.results.clone());
             }
         }
         all
--- a/papayatrayd/src/gateway/controller.rs
+++ b/papayatrayd/src/gateway/controller.rs
@@ -2,6 +2,7 @@
 //! the others.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use papayatray_core::clock::Clock;
@@ -12,6 +13,7 @@
 use papayatray_core::gateway::rollout::is_completion_due;
 use papayatray_core::gateway::rollout::is_roll_back_due;
 use papayatray_core::id::ServiceId;
+use papayatray_core::regression::Tally;
 use papayatray_state::machine::Command;
 use papayatray_wire::peer::LeaderReply;
 use smol::Timer;
@@ -117,6 +119,7 @@
                 ("bad", &total.responses.bad),
                 ("paces_good", &total.paces.good),
                 ("paces_bad", &total.paces.bad),
+                ("routes", &by_route(evidence)),
             ],
         );
         let command = Command::EndRollout {
@@ -133,3 +136,18 @@
         }
     }
 }
+
+/// Returns the good and bad responses of the target and of the other releases by route, as in
+/// `orders:12+1/310+2`.
+fn by_route(evidence: &ReleaseEvidence) -> String {
+    let (target, others) = (&evidence.total().routes, &evidence.others().routes);
+    let routes: BTreeSet<&String> = target.keys().chain(others.keys()).collect();
+    let texts = routes.into_iter().map(|route| {
+        let [target, others] = [target, others].map(|results| {
+            let Tally { good, bad } = results.get(route).copied().unwrap_or_default();
+            format!("{good}+{bad}")
+        });
+        format!("{route}:{target}/{others}")
+    });
+    texts.collect::<Vec<String>>().join(",")
+}
--- a/papayatrayd/src/gateway/state/releases.rs
+++ b/papayatrayd/src/gateway/state/releases.rs
@@ -6,6 +6,7 @@
 use papayatray_core::gateway::slowness::PaceKind;
 use papayatray_core::gateway::slowness::PaceMeter;
 use papayatray_core::gateway::slowness::ResponseKind;
+use papayatray_core::id::ServiceId;
 use papayatray_wire::peer::ReleaseTally;
 
 use super::Gateway;
@@ -34,18 +35,23 @@
         let latency = latency.as_u64() as f64;
         let kind = kind.with_prefill(endpoint.prefill_tokens);
         let excess = objective.as_u64() as f64 * SLOW_EXCESS_PART;
+        let route = kind.route.clone();
         let mut latencies = lock(&self.latencies);
         let is_slow = latencies.is_slow(&kind, latency, excess.min(MAX_SLOW_EXCESS_MS));
         if !self.is_in_rollout(endpoint) {
             latencies.add(kind, latency);
         }
         drop(latencies);
-        self.count_result(endpoint, |results| results.responses.count(!is_slow));
+        self.count_result(endpoint, |results| results.count_response(&route, !is_slow));
     }
 
-    /// Counts a failed response for its release.
-    pub(in crate::gateway) fn record_failed_response(&self, endpoint: &SelectedEndpoint) {
-        self.count_result(endpoint, |results| results.responses.count(false));
+    /// Counts a failed response on a route for its release.
+    pub(in crate::gateway) fn record_failed_response(
+        &self,
+        endpoint: &SelectedEndpoint,
+        route: &str,
+    ) {
+        self.count_result(endpoint, |results| results.count_response(route, false));
     }
 
     /// Counts the pace of a stream from the model at `size_index` for its release, once it is known.
@@ -112,16 +118,26 @@
         })
     }
 
-    /// Returns the results of each release since the process started.
+    /// Returns the results of each release since the process started; those by route only for services
+    /// with a running roll-out, as nobody else evaluates them.
     pub fn tallies(&self) -> Vec<ReleaseTally> {
+        let rollouts = self.rollouts();
+        let is_running = |service: &ServiceId| {
+            let rollout = rollouts.get(service);
+            rollout.is_some_and(|rollout| rollout.state == RolloutState::Running)
+        };
         let tallies = lock(&self.tallies);
-        let all = tallies
-            .iter()
-            .map(|((service, release), results)| ReleaseTally {
+        let all = tallies.iter().map(|((service, release), results)| {
+            let mut results = results.clone();
+            if !is_running(service) {
+                results.routes.clear();
+            }
+            ReleaseTally {
                 service: service.clone(),
                 release: release.clone(),
-                results: *results,
-            });
+                results,
+            }
+        });
         all.collect()
     }
 }
