fix(gateway): judge a release on each route, with enough requests to do so

That nothing is evaluated after the completion is true and no way out: the other endpoints stop then.

Each route is now judged against itself. A failure counts once the request has succeeded elsewhere or has ended; if an endpoint of the other release fails it too, it counts against nobody. Requests without a session that the canary failed are sent to the other release. The slack is divided among the entries (`bounds.exposure_slack`) and granted over the canary's time.

The tests of the attribution and of the grants are of code that did not exist.

--- a/papayatray_bench/src/decisions/mod.rs
+++ b/papayatray_bench/src/decisions/mod.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod cold;
 mod cost;
+pub(crate) mod plain_releases;
 mod poison;
 mod reach;
 pub(crate) mod releases;
@@ -28,6 +29,7 @@
     poison::run(report);
     reach::run(report);
     releases::run(report);
+    plain_releases::run(report);
     uneven::run(report);
     cold::run(report);
     cost::run(report);
--- a/papayatray_bench/src/main.rs
+++ b/papayatray_bench/src/main.rs
@@ -27,7 +27,7 @@
         ///
         /// Exit codes: 0 all bounds hold; 1 a bound is violated or a run failed.
         cmd bench {
-            /// Benchmark to run: decisions, releases (a part of decisions), relay, idle, log, plans, recovery, propagation, state, many,
+            /// Benchmark to run: decisions, releases and plain (parts of decisions), relay, idle, log, plans, recovery, propagation, state, many,
             /// spread, failover or all (default).
             optional name: String
             /// File to which each measure is appended as a JSON line.
@@ -87,6 +87,7 @@
     match name {
         "decisions" => decisions::run(report),
         "releases" => decisions::releases::run(report),
+        "plain" => decisions::plain_releases::run(report),
         "relay" => relay::run(report).await?,
         "idle" => daemons::idle(report).await?,
         "log" => log::run(report)?,
--- a/papayatray_core/src/gateway/release_evidence.rs
+++ b/papayatray_core/src/gateway/release_evidence.rs
@@ -47,6 +47,8 @@
 pub enum Regression {
     /// Responses failed, or arrived late.
     Responses,
+    /// Responses on one route failed, or arrived late.
+    Route,
     /// Events of streams came slowly.
     Pace,
 }
@@ -56,6 +58,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Responses => "responses",
+            Self::Route => "route",
             Self::Pace => "pace",
         }
     }
@@ -63,6 +66,16 @@
 
 /// Excess of the share of slow paces over that of the other releases that counts as a regression.
 const PACE_MARGIN: f64 = 0.3;
+/// Excess of the failure rate on a route over that of the other releases that counts as a regression.
+const ROUTE_MARGIN: f64 = 0.3;
+/// Number of responses to which the baseline of a route is scaled down, so that it follows the load.
+const MAX_BASELINE_COUNT: f64 = 100.0;
+/// Responses from which a regression of a service without streams is told with near certainty.
+const AMPLE_RESPONSES: u64 = 60;
+/// Share of the other releases' responses from which a route is a main one.
+const MAIN_ROUTE_SHARE: f64 = 0.2;
+/// Responses of the target on each main route without which the roll-out is not completed.
+const MIN_ROUTE_RESPONSES: u64 = 3;
 /// Paces from which a regression to several times the usual pace is told with near certainty.
 const AMPLE_PACES: u64 = 12;
 
@@ -73,11 +86,52 @@
     baseline: FailureBaseline,
 }
 
+/// Responses on one route: failure rate of the other releases, and the test of the target against it.
+#[derive(Clone, Copy, Debug)]
+struct RouteEvidence {
+    detector: RegressionDetector,
+    /// Latest good and bad responses of the other releases.
+    baseline: [f64; 2],
+}
+
+impl Default for RouteEvidence {
+    fn default() -> Self {
+        Self {
+            detector: RegressionDetector::new(ROUTE_MARGIN),
+            baseline: [0.0; 2],
+        }
+    }
+}
+
+impl RouteEvidence {
+    /// Adds responses of the other releases.
+    fn add_others(&mut self, others: &Tally) {
+        self.baseline[0] += others.good as f64;
+        self.baseline[1] += others.bad as f64;
+        let total: f64 = self.baseline.iter().sum();
+        if total > MAX_BASELINE_COUNT {
+            for count in &mut self.baseline {
+                *count *= MAX_BASELINE_COUNT / total;
+            }
+        }
+    }
+
+    /// Adds responses of the target; returns whether it has regressed on this route.
+    fn add_target(&mut self, target: &Tally) -> bool {
+        let [good, bad] = self.baseline;
+        // The rule of succession: without any response, the rate is taken for one half.
+        let rate = (bad + 1.0) / (good + bad + 2.0);
+        self.detector.add_at_rate(target, rate)
+    }
+}
+
 /// Evidence on one roll-out.
 #[derive(Clone, Debug)]
 pub struct ReleaseEvidence {
     target: String,
     responses: Comparison,
+    /// Responses by route, from entries that count them.
+    routes: BTreeMap<String, RouteEvidence>,
     /// Paces from entries that do not count ratios.
     paces: Comparison,
     slowdown: SlowdownDetector,
@@ -97,6 +151,7 @@
         Self {
             target: target.to_owned(),
             responses: Comparison::default(),
+            routes: BTreeMap::new(),
             paces: Comparison {
                 detector: RegressionDetector::new(PACE_MARGIN),
                 ..Comparison::default()
@@ -124,16 +179,33 @@
         &self.others
     }
 
-    /// Returns whether much is known of the target; releases that send no streams give no paces.
+    /// Returns whether much is known of the target: paces, or responses of a service without streams.
     pub const fn is_ample(&self) -> bool {
-        let Tally { good, bad } = self.total.paces;
-        good + bad >= AMPLE_PACES || !self.has_streams
+        if self.has_streams {
+            self.total.paces.total() >= AMPLE_PACES
+        } else {
+            self.total.responses.total() >= AMPLE_RESPONSES
+        }
+    }
+
+    /// Returns whether the target has answered on each main route.
+    ///
+    /// Entries that count no routes are left out.
+    pub fn covers_routes(&self) -> bool {
+        let all: u64 = self.others.routes.values().map(Tally::total).sum();
+        self.others.routes.iter().all(|(route, others)| {
+            let is_main = others.total() as f64 >= all as f64 * MAIN_ROUTE_SHARE;
+            let known = self.total.routes.get(route).map_or(0, Tally::total);
+            !is_main || known >= MIN_ROUTE_RESPONSES
+        })
     }
 
     /// Returns whether the evidence that the target has regressed is too strong to complete the
     /// roll-out, though not strong enough to end it.
     pub fn is_suspicious(&self) -> bool {
+        let mut routes = self.routes.values();
         self.responses.detector.is_suspicious()
+            || routes.any(|route| route.detector.is_suspicious())
             || self.paces.detector.is_suspicious()
             || self.slowdown.is_suspicious()
     }
@@ -173,14 +245,34 @@
         self.others.add(&others);
         self.has_streams |= others.paces != Tally::default();
         let has_failed = self.responses.add(&target.responses, &others.responses);
+        let has_failed_on_route = self.add_routes(&target.routes, &others.routes);
         let [target_paces, other_paces] = without_ratios;
         let is_slow = self.paces.add(&target_paces, &other_paces)
             | self.slowdown.add(&target.ratios, &others.ratios);
-        match (has_failed, is_slow) {
-            (true, _) => Some(Regression::Responses),
-            (false, true) => Some(Regression::Pace),
-            (false, false) => None,
+        match (has_failed, has_failed_on_route, is_slow) {
+            (true, _, _) => Some(Regression::Responses),
+            (false, true, _) => Some(Regression::Route),
+            (false, false, true) => Some(Regression::Pace),
+            (false, false, false) => None,
+        }
+    }
+
+    /// Adds responses by route; returns whether the target has regressed on one of them.
+    fn add_routes(
+        &mut self,
+        target: &BTreeMap<String, Tally>,
+        others: &BTreeMap<String, Tally>,
+    ) -> bool {
+        for (route, tally) in others {
+            let evidence = self.routes.entry(route.clone()).or_default();
+            evidence.add_others(tally);
+        }
+        let mut has_failed = false;
+        for (route, tally) in target {
+            let evidence = self.routes.entry(route.clone()).or_default();
+            has_failed |= evidence.add_target(tally);
         }
+        has_failed
     }
 }
 
--- a/papayatray_core/src/gateway/rollout.rs
+++ b/papayatray_core/src/gateway/rollout.rs
@@ -17,6 +17,8 @@
 const CANARY_START: f64 = 0.5;
 /// The canary's share of requests, as a part of the exposure bound.
 const CANARY_EXPOSURE_PART: f64 = 0.8;
+/// Part of the canary's time in which its additional requests are granted.
+const CANARY_GROWTH_PART: f64 = 0.8;
 /// Part of the exposure bound that canary and full traffic together may use.
 const MAX_EXPOSURE_PART: f64 = 0.9;
 /// Time by which the completion precedes the time limit; covers the commit and a retry.
@@ -250,6 +252,19 @@
         }
     }
 
+    /// Returns how much of the canary's time, from 0 to 1, has passed.
+    ///
+    /// It reaches 1 some time before all traffic goes to the target, so that the last responses are
+    /// known by then.
+    pub fn canary_progress(&self, elapsed: Millis) -> f64 {
+        let part = elapsed.as_u64() as f64 / self.limit_ms.max(1.0);
+        let length = (self.full_from - CANARY_START) * CANARY_GROWTH_PART;
+        if length <= 0.0 {
+            return 0.0;
+        }
+        ((part - CANARY_START) / length).clamp(0.0, 1.0)
+    }
+
     /// Returns whether all traffic goes to the target.
     pub fn is_full(&self, elapsed: Millis) -> bool {
         self.share(elapsed) >= 1.0
--- a/papayatray_core/src/regression.rs
+++ b/papayatray_core/src/regression.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Returns the number of requests.
+    pub const fn total(&self) -> u64 {
+        self.good + self.bad
+    }
+
     /// Counts one request.
     pub const fn count(&mut self, is_good: bool) {
         if is_good {
@@ -103,7 +108,13 @@
 
     /// Adds results of the version; returns whether it must be stopped.
     pub fn add(&mut self, tally: &Tally, baseline: &FailureBaseline) -> bool {
-        let rate = baseline.rate();
+        self.add_at_rate(tally, baseline.rate())
+    }
+
+    /// Adds results of the version, compared with a failure rate from 0 to 1; returns whether the
+    /// version must be stopped.
+    pub fn add_at_rate(&mut self, tally: &Tally, rate: f64) -> bool {
+        let rate = rate.clamp(MIN_BASELINE, MAX_BASELINE);
         let regressed_rate = (rate + self.margin).min(MAX_REGRESSED);
         let per_bad = (regressed_rate / rate).ln();
         let per_good = ((1.0 - regressed_rate) / (1.0 - rate)).ln();
--- a/papayatray_core/tests/core/main.rs
+++ b/papayatray_core/tests/core/main.rs
@@ -29,6 +29,7 @@
 mod gateway_prefixes;
 mod gateway_rate_limits;
 mod gateway_reach;
+mod gateway_release_routes;
 mod gateway_replicas;
 mod gateway_rollout;
 mod gateway_sizing_load;
--- a/papayatrayd/src/gateway/attempt.rs
+++ b/papayatrayd/src/gateway/attempt.rs
@@ -53,8 +53,6 @@
     /// Whether the answer has been recorded as one on which the endpoint did not crash.
     is_answered: bool,
     prompt: Prompt,
-    /// Name of the request's route.
-    route: String,
     /// Prefill time still counted in the endpoint's backlog.
     prefill_ms: f64,
     pub(super) span: Span,
@@ -65,7 +63,6 @@
         gateway: &Arc<Gateway>,
         endpoint: SelectedEndpoint,
         prompt: Prompt,
-        route: &str,
         span: Span,
     ) -> Self {
         let started_at = gateway.clock.now();
@@ -77,7 +74,6 @@
         Self {
             span,
             prompt,
-            route: route.to_owned(),
             prefill_ms,
             started_at,
             answered_at: None,
@@ -143,11 +139,9 @@
         health.record_success(&self.endpoint.id, latency, now);
     }
 
-    /// Records a failed response in the release tally and the endpoint's health.
+    /// Records a failed response in the endpoint's health.
     pub(super) fn record_failure(&self) {
         let now = self.gateway.clock.now();
-        self.gateway
-            .record_failed_response(&self.endpoint, &self.route);
         let mut fleet = self.gateway.fleet();
         let health = fleet.health(&self.endpoint.service);
         health.record_failure(&self.endpoint.id, now);
--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -7,6 +7,7 @@
 use papayatray_core::gateway::crashes::CrashCause;
 use papayatray_core::gateway::order::Urgency;
 use papayatray_core::gateway::reach::Path;
+use papayatray_core::gateway::request_failures::RequestFailures;
 use papayatray_core::gateway::sizing::ExpectedTimes;
 use papayatray_core::gateway::slowness::ResponseKind;
 use papayatray_core::id::EndpointId;
@@ -104,6 +105,18 @@
     arrivals: u32,
     /// Whether the next attempt has been paid for from the retry budget.
     is_prepaid: bool,
+    /// Failed responses, until they are counted for their releases.
+    failures: RequestFailures<SelectedEndpoint>,
+    release_choice: ReleaseChoice,
+}
+
+/// How it is decided whether a request without a session may use the release in roll-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReleaseChoice {
+    /// By the request's draw.
+    Draw,
+    /// The canary gets it beyond its share.
+    Granted,
 }
 
 impl Attempts {
@@ -123,6 +136,39 @@
             rejections: 0,
             arrivals: 0,
             is_prepaid: false,
+            failures: RequestFailures::default(),
+            release_choice: ReleaseChoice::Draw,
+        }
+    }
+
+    /// Records that the endpoint of an attempt failed the request, for its health and its release.
+    pub(super) fn record_failure(&mut self, attempt: &InFlightAttempt) {
+        attempt.record_failure();
+        let is_target = self.gateway.is_in_rollout(&attempt.endpoint);
+        self.failures.record(attempt.endpoint.clone(), is_target);
+    }
+
+    /// Counts the failed responses for their releases, as another endpoint has answered the request.
+    pub(super) fn count_failures(&mut self) {
+        for endpoint in self.failures.take_counted() {
+            let route = &self.request.route.name;
+            self.gateway.record_failed_response(&endpoint, route);
+        }
+    }
+
+    /// Returns the number that decides whether the next attempt may use the release in roll-out.
+    ///
+    /// Requests of a session all have the same one. Any other request that this release has failed is
+    /// sent to another one.
+    fn release_draw(&self) -> f64 {
+        if self.request.has_session {
+            self.request.session_draw
+        } else if self.failures.has_failed_at_target() {
+            1.0
+        } else if self.release_choice == ReleaseChoice::Granted {
+            0.0
+        } else {
+            self.request.session_draw
         }
     }
 
@@ -198,8 +244,7 @@
             let prompt = self.prompt();
             let endpoint = self.pick_endpoint(prompt)?;
             let span = self.request.span.child("gateway.attempt");
-            let route = &self.request.route.name;
-            let attempt = InFlightAttempt::new(&self.gateway, endpoint, prompt, route, span);
+            let attempt = InFlightAttempt::new(&self.gateway, endpoint, prompt, span);
             if let Some(started) = self.send_to_endpoint(attempt).await? {
                 return Ok(started);
             }
@@ -272,14 +317,22 @@
             excluded: &self.excluded,
             homes: &self.request.homes,
             prompt,
-            session_draw: self.request.session_draw,
+            session_draw: self.release_draw(),
         }
     }
 
     /// Selects an endpoint; every attempt after the first that may have reached one spends retry
     /// budget.
     fn pick_endpoint(&mut self, prompt: Prompt) -> Result<SelectedEndpoint, Refusal> {
-        let Some(endpoint) = self.gateway.reserve(&self.placement_request(prompt)) else {
+        if self.arrivals == 0 {
+            self.request_grant();
+        }
+        let endpoint = self.gateway.reserve(&self.placement_request(prompt));
+        let is_target = |endpoint: &SelectedEndpoint| self.gateway.is_in_rollout(endpoint);
+        if self.arrivals == 0 && !endpoint.as_ref().is_some_and(is_target) {
+            self.take_back_grant();
+        }
+        let Some(endpoint) = endpoint else {
             return Err(self.no_endpoint_refusal());
         };
         let service = &self.request.service;
@@ -294,6 +347,25 @@
         Ok(endpoint)
     }
 
+    /// Asks for an additional request of the canary, if the request has no session.
+    fn request_grant(&mut self) {
+        let service = &self.request.service;
+        if self.release_choice == ReleaseChoice::Draw
+            && !self.request.has_session
+            && self.gateway.grant_canary(service)
+        {
+            self.release_choice = ReleaseChoice::Granted;
+        }
+    }
+
+    /// Takes back a grant that was not used.
+    fn take_back_grant(&mut self) {
+        if self.release_choice == ReleaseChoice::Granted {
+            self.gateway.take_back_canary(&self.request.service);
+            self.release_choice = ReleaseChoice::Draw;
+        }
+    }
+
     /// Returns the refusal for a request that no endpoint may get.
     fn no_endpoint_refusal(&self) -> Refusal {
         let now = self.gateway.clock.now();
@@ -370,7 +442,7 @@
                 Ok(None)
             }
             Some(Err(ExchangeError::Lost(_))) => {
-                attempt.record_failure();
+                self.record_failure(&attempt);
                 self.gateway.detect_crash(attempt.lost(&self.request));
                 self.record_failed_run(&attempt).map(|()| None)
             }
@@ -381,7 +453,7 @@
             }
             None => {
                 self.possible_runs += 1;
-                attempt.record_failure();
+                self.record_failure(&attempt);
                 Err(Refusal::TimedOut)
             }
         }
@@ -464,7 +536,7 @@
         }
         if metadata.request_id.as_deref() != Some(&self.request.metadata.id) {
             // The response belongs to another request and must not reach this caller.
-            attempt.record_failure();
+            self.record_failure(&attempt);
             self.record_failed_run(&attempt)?;
             return Ok(None);
         }
@@ -517,7 +589,7 @@
             self.gateway.metrics.count_event("response_refused");
         }
         if cause != BreakCause::NoMemory {
-            attempt.record_failure();
+            self.record_failure(attempt);
         }
         self.excluded.push(attempt.endpoint.id.clone());
         self.can_retry()
@@ -602,3 +674,9 @@
         );
     }
 }
+
+impl Drop for Attempts {
+    fn drop(&mut self) {
+        self.count_failures();
+    }
+}
--- a/papayatrayd/src/gateway/controller.rs
+++ b/papayatrayd/src/gateway/controller.rs
@@ -93,6 +93,7 @@
         let can_complete =
             is_completion_due(rollout, self.max_exposure, good, evidence.is_ample(), now)
                 && has_capacity
+                && evidence.covers_routes()
                 && !evidence.is_suspicious();
         if can_complete {
             return Some(RolloutState::Completed);
--- a/papayatrayd/src/gateway/daemon.rs
+++ b/papayatrayd/src/gateway/daemon.rs
@@ -388,7 +388,7 @@
             state,
             control: control.clone(),
             clock,
-            max_exposure: identity.bounds.exposure,
+            max_exposure: identity.bounds.exposure.share,
         };
         spawner.spawn(controller.run());
         spawner.spawn(follow_members(operator));
--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -289,7 +289,7 @@
     };
     match reading.or(timeout).await {
         None => {
-            started.attempt.record_failure();
+            attempts.record_failure(&started.attempt);
             Err(Refusal::TimedOut)
         }
         Some(Err(error)) => {
@@ -315,12 +315,13 @@
             }
             let is_failure = started.head.status.is_server_error();
             if is_failure {
-                started.attempt.record_failure();
+                attempts.record_failure(&started.attempt);
                 attempts.excluded.push(started.attempt.endpoint.id.clone());
             } else {
                 started
                     .attempt
                     .record_success(attempts.response_kind(), attempts.request.route.objective);
+                attempts.count_failures();
             }
             let response = checked_response(&started, body);
             started.return_connection();
--- a/papayatrayd/src/gateway/routed_request.rs
+++ b/papayatrayd/src/gateway/routed_request.rs
@@ -63,8 +63,10 @@
     pub(super) deadline: Millis,
     /// Whether the request was authorised by an API key, which may be revoked meanwhile.
     pub(super) has_key: bool,
+    /// Whether requests before or after this one share its prefix, so that they form a session.
+    pub(super) has_session: bool,
     /// Number from 0 to 1 that decides whether the request uses a release in roll-out; the same for
-    /// all requests with the same shared prefix.
+    /// all requests of a session.
     pub(super) session_draw: f64,
     /// Digest of path, organisation and body, identical for repeated sends of the same request.
     ///
@@ -133,6 +135,7 @@
             homes,
             organisation,
             has_key,
+            has_session: shared_digest.is_some(),
             session_draw: hash_for_purpose(affinity, 2) as f64 / u64::MAX as f64,
             method: head.method,
             path: origin_form(&head.uri),
--- a/papayatrayd/src/gateway/settings.rs
+++ b/papayatrayd/src/gateway/settings.rs
@@ -8,6 +8,7 @@
 use displaydoc::Display;
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::arrivals::ArrivalBound;
+use papayatray_core::gateway::canary::ExposureBound;
 use papayatray_core::gateway::warm_up::ColdBound;
 use papayatray_core::id::DataCentre;
 use papayatray_core::id::Region;
@@ -132,6 +133,8 @@
     pub retry_window: DurationSetting,
     /// Largest share of a service's requests, from 0 to 1, for a release in roll-out.
     pub exposure: f64,
+    /// Requests that a release in roll-out may get beyond that share.
+    pub exposure_slack: f64,
     /// Longest duration of a graceful shutdown.
     pub grace: DurationSetting,
     /// Time for which callers may cache the list of entry addresses.
@@ -152,6 +155,7 @@
             retry_slack: 10.0,
             retry_window: DurationSetting(Millis::from_secs(10)),
             exposure: 0.1,
+            exposure_slack: 0.0,
             grace: DurationSetting(Millis::from_secs(30)),
             hold: DurationSetting(Millis::from_secs(2)),
             cold_overshoot: ColdBound::default().overshoot,
@@ -171,7 +175,10 @@
                 slack: settings.retry_slack,
                 window: settings.retry_window.0,
             },
-            exposure: settings.exposure,
+            exposure: ExposureBound {
+                share: settings.exposure,
+                slack: settings.exposure_slack,
+            },
             grace: settings.grace.0,
             hold: settings.hold.0,
             cold: ColdBound {
@@ -235,6 +242,11 @@
                 "bounds.exposure",
                 "a share from 0 to 1",
             ),
+            (
+                self.bounds.exposure_slack >= 0.0,
+                "bounds.exposure_slack",
+                "0 or more",
+            ),
             (
                 self.bounds.retry_ratio >= 0.0 && self.bounds.retry_slack >= 0.0,
                 "bounds.retry_ratio, bounds.retry_slack",
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -15,6 +15,8 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::arrivals::ArrivalBound;
 use papayatray_core::gateway::arrivals::ArrivalBudget;
+use papayatray_core::gateway::canary::CanaryAllowance;
+use papayatray_core::gateway::canary::ExposureBound;
 use papayatray_core::gateway::entry_register::EntryList;
 use papayatray_core::gateway::entry_roster::EntryRoster;
 use papayatray_core::gateway::freshness::PlanFreshness;
@@ -80,8 +82,8 @@
     /// Retry budget of each service: limit on the attempts that reach endpoints, not counting the
     /// first one of each request.
     pub arrivals: ArrivalBound,
-    /// Largest share of a service's requests, from 0 to 1, for a release in roll-out.
-    pub exposure: f64,
+    /// Bound on the requests for a release in roll-out.
+    pub exposure: ExposureBound,
     /// Longest duration of a graceful shutdown.
     pub grace: Millis,
     /// Time for which callers may cache the list of entry addresses.
@@ -185,6 +187,8 @@
     budget: Mutex<ArrivalBudget>,
     /// Results since the process started, by service and release.
     tallies: Mutex<BTreeMap<(ServiceId, String), ReleaseResults>>,
+    /// Requests that canaries get beyond their share.
+    canary: Mutex<CanaryAllowance>,
     /// Usual times to a whole response, or to the first event of a stream.
     latencies: Mutex<UsualLatencies>,
     /// Usual times for each event of a stream.
@@ -237,6 +241,7 @@
             roster: Mutex::default(),
             budget: Mutex::new(ArrivalBudget::new(bounds.arrivals)),
             tallies: Mutex::default(),
+            canary: Mutex::default(),
             latencies: Mutex::default(),
             paces: Mutex::default(),
             stream_times: Mutex::default(),
@@ -369,7 +374,7 @@
         let now = self.clock.now();
         let rollouts = self.rollouts();
         let wall = self.leader_wall(now);
-        let exposure = self.bounds.exposure;
+        let exposure = self.bounds.exposure.share;
         let eligibility = |release: &str| -> ReleaseEligibility {
             rollouts.eligibility(service, release, session_draw, wall, exposure)
         };
--- a/papayatrayd/src/gateway/state/releases.rs
+++ b/papayatrayd/src/gateway/state/releases.rs
@@ -109,8 +109,29 @@
         count(tallies.entry(key).or_default());
     }
 
+    /// Returns whether the canary of a service gets one more request without a session beyond its share.
+    ///
+    /// An entry that has started during the roll-out does not know how many it granted before.
+    pub(in crate::gateway) fn grant_canary(&self, service: &ServiceId) -> bool {
+        let rollouts = self.rollouts();
+        let Some(rollout) = rollouts.get(service) else {
+            return false;
+        };
+        if self.leader_wall(self.started_at) >= rollout.started_at {
+            return false;
+        }
+        let now = self.leader_wall(self.clock.now());
+        let (bound, entries) = (self.bounds.exposure, self.entry_count());
+        lock(&self.canary).grant(service, rollout, bound, entries, now, rand::random())
+    }
+
+    /// Takes back a grant for a request that was not sent to the release in roll-out.
+    pub(in crate::gateway) fn take_back_canary(&self, service: &ServiceId) {
+        lock(&self.canary).take_back(service);
+    }
+
     /// Returns whether an endpoint runs the target of a running roll-out.
-    fn is_in_rollout(&self, endpoint: &SelectedEndpoint) -> bool {
+    pub(in crate::gateway) fn is_in_rollout(&self, endpoint: &SelectedEndpoint) -> bool {
         let rollouts = self.rollouts();
         let rollout = rollouts.get(&endpoint.service);
         rollout.is_some_and(|rollout| {
--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -153,6 +153,7 @@
                     .started
                     .attempt
                     .record_success(attempts.response_kind(), attempts.request.route.objective);
+                attempts.count_failures();
                 attempts.record_response_time();
                 return Ok(start_relay(attempts, stream, first_event, in_flight));
             }
@@ -362,6 +363,7 @@
 
 impl Attempts {
     fn record_event(&mut self, event: &StreamEvent) {
+        self.count_failures();
         self.last_event = event.id.or(self.last_event);
     }
 
--- a/papayatrayd/tests/gateway/main.rs
+++ b/papayatrayd/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod rate_limits;
 mod reach;
 mod relay;
+mod releases;
 mod rig;
 mod settings;
 mod streams;
--- a/papayatrayd/tests/gateway/rig.rs
+++ b/papayatrayd/tests/gateway/rig.rs
@@ -17,6 +17,7 @@
 use papayatray_core::directory::Load;
 use papayatray_core::directory::Offer;
 use papayatray_core::gateway::arrivals::ArrivalBound;
+use papayatray_core::gateway::canary::ExposureBound;
 use papayatray_core::gateway::crashes::CrashCause;
 use papayatray_core::gateway::entry_register::EntryUpdates;
 use papayatray_core::gateway::homes::Regions;
@@ -246,7 +247,10 @@
             in_force: Millis::from_secs(4),
             heartbeat: Millis::from_secs(1),
             arrivals,
-            exposure: 0.1,
+            exposure: ExposureBound {
+                share: 0.1,
+                slack: 0.0,
+            },
             grace: Millis::from_secs(2),
             hold: Millis::from_secs(1),
             cold: ColdBound::default(),
