fix(gateway): do not complete a release nearly all of whose streams are slow

Cause: the ratios of paces are compared with those of the other releases, which vary so widely beside loaded and slow endpoints that each slow stream says little; 21 streams did not reach the suspicion. That nearly all streams of the target are slow, and few of the others, was known and not used.

The numbers of slow paces now also keep a release from its completion if they are likelier for a release that is slow in 95 of 100 streams than at the rate of the others.

Failed before: release_with_nearly_all_streams_slow_is_suspicious_beside_widely_varying_paces.

--- a/papayatray_core/src/gateway/release_evidence.rs
+++ b/papayatray_core/src/gateway/release_evidence.rs
@@ -76,6 +76,12 @@
 const MAIN_ROUTE_SHARE: f64 = 0.2;
 /// Responses of the target on each main route without which the roll-out is not completed.
 const MIN_ROUTE_RESPONSES: u64 = 3;
+/// Share of slow paces of a release that is slower as a whole. One some of whose endpoints are slow for
+/// reasons of their own has a smaller one.
+const SLOW_RELEASE_SHARE: f64 = 0.95;
+/// Log-likelihood ratio (natural logarithm) of this share against that of the other releases from which a
+/// release is not completed.
+const SLOW_RELEASE_THRESHOLD: f64 = 3.0;
 /// Paces from which a regression to several times the usual pace is told with near certainty.
 const AMPLE_PACES: u64 = 12;
 
@@ -208,6 +214,21 @@
             || routes.any(|route| route.detector.is_suspicious())
             || self.paces.detector.is_suspicious()
             || self.slowdown.is_suspicious()
+            || self.is_mostly_slow()
+    }
+
+    /// Returns whether nearly all streams of the target are slow, unlike those of the other releases.
+    ///
+    /// The ratios of the others may vary so much that [`SlowdownDetector`] needs more streams to tell.
+    fn is_mostly_slow(&self) -> bool {
+        let Tally { good, bad } = self.others.paces;
+        let rate = (bad as f64 + 1.0) / (good as f64 + bad as f64 + 2.0);
+        rate < SLOW_RELEASE_SHARE
+            && self
+                .total
+                .paces
+                .log_likelihood_ratio(rate, SLOW_RELEASE_SHARE)
+                >= SLOW_RELEASE_THRESHOLD
     }
 
     /// Adds the results counted since the last call; returns what shows that the target has
--- a/papayatray_core/src/regression.rs
+++ b/papayatray_core/src/regression.rs
@@ -43,6 +43,14 @@
         self.good + self.bad
     }
 
+    /// Returns the logarithm of how much likelier these results are at the failure rate `regressed` than
+    /// at `rate`; both lie between 0 and 1.
+    pub fn log_likelihood_ratio(&self, rate: f64, regressed: f64) -> f64 {
+        let per_bad = (regressed / rate).ln();
+        let per_good = ((1.0 - regressed) / (1.0 - rate)).ln();
+        self.bad as f64 * per_bad + self.good as f64 * per_good
+    }
+
     /// Counts one request.
     pub const fn count(&mut self, is_good: bool) {
         if is_good {
@@ -116,9 +124,7 @@
     pub fn add_at_rate(&mut self, tally: &Tally, rate: f64) -> bool {
         let rate = rate.clamp(MIN_BASELINE, MAX_BASELINE);
         let regressed_rate = (rate + self.margin).min(MAX_REGRESSED);
-        let per_bad = (regressed_rate / rate).ln();
-        let per_good = ((1.0 - regressed_rate) / (1.0 - rate)).ln();
-        let step = tally.bad as f64 * per_bad + tally.good as f64 * per_good;
+        let step = tally.log_likelihood_ratio(rate, regressed_rate);
         self.sum = (self.sum + step).max(0.0);
         self.sum >= STOP_THRESHOLD
     }
--- a/papayatray_core/tests/core/gateway_slowness.rs
+++ b/papayatray_core/tests/core/gateway_slowness.rs
@@ -160,6 +160,38 @@
     }
 }
 
+/// Guards against a release whose streams are nearly all slow, beside one whose ratios to the usual pace
+/// vary widely.
+#[test]
+fn release_with_nearly_all_streams_slow_is_suspicious_beside_widely_varying_paces() {
+    let measured = |ratios: &[f64]| {
+        let mut results = ReleaseResults::default();
+        for ratio in ratios {
+            results.paces.count(*ratio <= 2.5);
+            results.ratios.count(*ratio);
+        }
+        entry_results(results)
+    };
+    let others: Vec<f64> = (0..200)
+        .map(|number| {
+            if number % 10 < 2 {
+                3.2
+            } else {
+                0.4 + f64::from(number % 13) / 6.0
+            }
+        })
+        .collect();
+    let target: Vec<f64> = (0..14)
+        .map(|number| if number % 7 == 0 { 1.0 } else { 2.6 })
+        .collect();
+    let mut evidence = ReleaseEvidence::new("v2");
+    let regression = evidence.record(BTreeMap::from([
+        ("v1".to_owned(), measured(&others)),
+        ("v2".to_owned(), measured(&target)),
+    ]));
+    assert!(regression.is_some() || evidence.is_suspicious());
+}
+
 #[test]
 fn roll_out_with_little_but_bad_evidence_is_suspicious() {
     let mut evidence = ReleaseEvidence::new("v2");
