fix(gateway): send buffered bodies in small frames, so that unread ones stay within their reservation

The HTTP library copies a frame whole before it writes it, and a buffered body was one frame: for each caller that does not read, the copy stayed in memory after the reservation had been given back. Requests to endpoints that read slowly had the same copies.

--- a/papayatrayd/src/gateway/body.rs
+++ b/papayatrayd/src/gateway/body.rs
@@ -1,9 +1,16 @@
 //! Bodies that are buffered whole, within limits of size, memory and number of frames.
 
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
 use bytes::Bytes;
 use displaydoc::Display;
 use http::StatusCode;
 use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
 use http_body_util::BodyExt;
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::buffer_shares::Exhausted;
@@ -20,6 +27,9 @@
 /// Capacity of a buffer at first, in bytes, even if a longer body is announced.
 const MIN_CAPACITY_BYTES: usize = 16 << 10;
 
+/// Maximum size of a frame that is handed to the HTTP library, in bytes.
+const MAX_FRAME_BYTES: usize = 16 << 10;
+
 /// Reason why a body cannot be buffered.
 #[derive(Debug, Display)]
 pub enum BodyError {
@@ -167,3 +177,65 @@
     };
     read_body(body, limit, reservation).or(expired).await
 }
+
+/// Body whose large frames are sent in pieces.
+///
+/// The HTTP library copies a frame whole before it writes it. For a peer that reads slowly, all of it would
+/// stay in memory for which there is no reservation.
+#[derive(Debug)]
+pub(super) struct SmallFrames<B> {
+    body: B,
+    /// Part of the last frame that has not been sent.
+    rest: Bytes,
+}
+
+impl<B> SmallFrames<B> {
+    /// Creates a body that sends the frames of `body`.
+    pub(super) const fn new(body: B) -> Self {
+        Self {
+            body,
+            rest: Bytes::new(),
+        }
+    }
+}
+
+impl<B> Body for SmallFrames<B>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        if self.rest.is_empty() {
+            let Some(frame) = ready!(Pin::new(&mut self.body).poll_frame(context)) else {
+                return Poll::Ready(None);
+            };
+            match frame?.into_data() {
+                Ok(data) => self.rest = data,
+                Err(trailers) => return Poll::Ready(Some(Ok(trailers))),
+            }
+        }
+        let length = self.rest.len().min(MAX_FRAME_BYTES);
+        let piece = self.rest.split_to(length);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let rest = self.rest.len() as u64;
+        let hint = self.body.size_hint();
+        let mut total = SizeHint::new();
+        total.set_lower(hint.lower() + rest);
+        if let Some(upper) = hint.upper() {
+            total.set_upper(upper + rest);
+        }
+        total
+    }
+}
--- a/papayatrayd/src/gateway/connection_pool.rs
+++ b/papayatrayd/src/gateway/connection_pool.rs
@@ -28,6 +28,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use super::body::SmallFrames;
 use super::fleet::SelectedEndpoint;
 use super::hop::HopGuard;
 use super::limited_stream::HeadLimit;
@@ -89,7 +90,7 @@
     key: ConnectionKey,
     /// Counts the attempt that an entry carries, until its response has ended.
     pub(super) hop: Option<HopGuard>,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SmallFrames<Full<Bytes>>>,
     head_limit: HeadLimit,
     /// Ends the connection when dropped.
     _driver: smol::Task<()>,
@@ -129,8 +130,8 @@
 }
 
 impl OutgoingRequest {
-    fn request(&self) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self) -> Request<SmallFrames<Full<Bytes>>> {
+        let mut request = Request::new(SmallFrames::new(Full::new(self.body.clone())));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path.clone();
         *request.headers_mut() = self.headers.clone();
--- a/papayatrayd/src/gateway/server.rs
+++ b/papayatrayd/src/gateway/server.rs
@@ -30,6 +30,7 @@
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
+use super::body::SmallFrames;
 use crate::liveness::limit_silence;
 use crate::observe::Level;
 use crate::observe::event;
@@ -172,7 +173,7 @@
                     .headers_mut()
                     .insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(SmallFrames::new))
         }
     });
     let mut connection = std::pin::pin!(
--- a/papayatrayd/tests/processes/memory.rs
+++ b/papayatrayd/tests/processes/memory.rs
@@ -25,6 +25,8 @@
 const BLOCK_BYTES: usize = 12 << 10;
 /// Size limit of a request body, by the plan.
 const MAX_BODY_BYTES: usize = 4 << 20;
+/// Time in which a response of the largest size arrives.
+const RESPONSE_TIME: Duration = Duration::from_millis(100);
 /// Time for which the connections with incomplete requests stay open.
 const HOLD_TIME: Duration = Duration::from_secs(2);
 
@@ -81,9 +83,11 @@
 /// Sends `endless` until the other end closes the connection.
 fn send_endlessly(stream: &mut TcpStream, endless: &Endless) -> std::io::Result<()> {
     stream.write_all(endless.start.as_bytes())?;
-    loop {
+    while !endless.block.is_empty() {
         stream.write_all(&endless.block)?;
     }
+    // The other end closes the connection.
+    stream.read_exact(&mut [0; 1])
 }
 
 /// Starts an endpoint that answers requests for `/a/sound` with events, and others with `endless`.
@@ -218,3 +222,54 @@
     assert_within_memory(&site, "entry-0", streams);
     assert_within_memory(&site, "control-0", Vec::new());
 }
+
+/// Starts an endpoint that answers requests for `/a/sound` with events, and others with a failure of the
+/// largest size.
+fn start_endpoint_of_large_responses() -> SocketAddr {
+    let body = "x".repeat(MAX_BODY_BYTES);
+    let start = format!(
+        "HTTP/1.1 500 Failed\r\nPapayatray-Request: r-1\r\nPapayatray-Ran: s\r\n\
+         Content-Length: {MAX_BODY_BYTES}\r\n\r\n{body}"
+    );
+    start_endpoint(Endless {
+        start,
+        block: Vec::new(),
+    })
+}
+
+/// Opens a connection that takes few bytes unless they are read.
+fn connect_with_small_window(address: SocketAddr) -> TcpStream {
+    let family = rustix::net::AddressFamily::INET;
+    let socket = rustix::net::socket(family, rustix::net::SocketType::STREAM, None).unwrap();
+    rustix::net::sockopt::set_socket_recv_buffer_size(&socket, 4 << 10).unwrap();
+    rustix::net::connect(&socket, &address).unwrap();
+    TcpStream::from(socket)
+}
+
+/// Guards against responses that are copied whole for callers that do not read them.
+#[test]
+fn unread_responses_fit_into_memory() {
+    let site = Site::start("unread-responses");
+    site.publish(1, "/a/");
+    for number in 1..=3 {
+        let address = start_endpoint_of_large_responses();
+        site.announce_as(&format!("e-{number}"), address);
+    }
+    let entry = site.caller_addresses[0];
+    site.wait_status(0, "/a/sound", 200);
+    let streams = start_streams(entry);
+    let unread: Vec<_> = (0..REQUESTS)
+        .map(|_| {
+            let mut stream = connect_with_small_window(entry);
+            let head = "GET /a/large HTTP/1.1\r\nHost: site.example\r\n\
+                        Papayatray-Request: r-1\r\n\r\n";
+            stream.write_all(head.as_bytes()).unwrap();
+            // Lets the response arrive, so that only what is unread takes memory.
+            thread::sleep(RESPONSE_TIME);
+            stream
+        })
+        .collect();
+    thread::sleep(HOLD_TIME);
+    assert_within_memory(&site, "entry-0", streams);
+    drop(unread);
+}
