fix(gateway): a stopping entry waits until its last responses have been read

The entry now also waits for the connections of its callers, within the same grace period. Idle ones are closed when it stops accepting, and each busy one ends once its response has been written, which only the connection itself knows. Failed before: faults::stopping_entry_waits_for_a_caller_that_reads_slowly.

--- a/papayatrayd/src/gateway/daemon.rs
+++ b/papayatrayd/src/gateway/daemon.rs
@@ -299,7 +299,8 @@
         "closed",
         &[("in_flight", &gateway.in_flight())],
     );
-    while gateway.in_flight() > 0 && gateway.clock.now() < end {
+    // Idle connections have been closed, and busy ones end with their response.
+    while gateway.is_busy() && gateway.clock.now() < end {
         Timer::after(DRAIN_POLL_INTERVAL.to_duration()).await;
     }
     // Lets the last responses be written to their sockets.
--- a/papayatrayd/src/gateway/mod.rs
+++ b/papayatrayd/src/gateway/mod.rs
@@ -84,6 +84,7 @@
 pub use settings::EntryRoleSettings;
 pub use settings::GatewaySettings;
 pub use state::Bounds;
+pub use state::ConnectionGuard;
 pub use state::Gateway;
 pub use state::ShutdownStage;
 pub use sync_client::SyncClient;
--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -40,6 +40,7 @@
 use super::server::HandlerBody;
 use super::server::Limits;
 use super::server::ResponseFuture;
+use super::state::ConnectionGuard;
 use super::state::Gateway;
 use super::state::InFlightGuard;
 use super::state::ShutdownStage;
@@ -190,6 +191,10 @@
         self.gateway.shutdown_stage() != ShutdownStage::Serving
     }
 
+    fn track_connection(&self) -> Option<ConnectionGuard> {
+        Some(self.gateway.track_connection())
+    }
+
     fn close_event(&self) -> Option<Arc<Event>> {
         Some(Arc::clone(&self.gateway.close_event))
     }
--- a/papayatrayd/src/gateway/server.rs
+++ b/papayatrayd/src/gateway/server.rs
@@ -31,6 +31,7 @@
 use smol_hyper::rt::SmolTimer;
 
 use super::body::SmallFrames;
+use super::state::ConnectionGuard;
 use crate::liveness::limit_silence;
 use crate::observe::Level;
 use crate::observe::event;
@@ -62,6 +63,12 @@
         false
     }
 
+    /// Returns a guard to hold until a connection has ended, if the process waits for connections before
+    /// it ends.
+    fn track_connection(&self) -> Option<ConnectionGuard> {
+        None
+    }
+
     /// Returns the event on which the listener closes and idle connections end, if there is one.
     fn close_event(&self) -> Option<Arc<Event>> {
         None
@@ -161,6 +168,7 @@
         event(Level::Debug, "caller_lost", &[("error", &error)]);
         return;
     }
+    let _guard = handler.track_connection();
     let limits = handler.limits();
     let close_event = handler.close_event();
     let service = service_fn(move |request: Request<Incoming>| {
--- a/papayatrayd/src/gateway/state.rs
+++ b/papayatrayd/src/gateway/state.rs
@@ -54,6 +54,7 @@
 use self::crashes::CrashView;
 pub(super) use self::crashes::LostAttempt;
 pub(super) use self::crashes::log_changes;
+pub use self::entries::ConnectionGuard;
 pub(super) use self::entries::InFlightGuard;
 use super::buffers::BufferPool;
 use super::connection_pool::ConnectionPool;
@@ -201,6 +202,8 @@
     crashes: Mutex<CrashView>,
     shutdown_stage: AtomicU8,
     in_flight: AtomicUsize,
+    /// Connections of callers.
+    open_connections: AtomicUsize,
 }
 
 impl Gateway {
@@ -249,6 +252,7 @@
             crashes: Mutex::default(),
             shutdown_stage: AtomicU8::new(ShutdownStage::Serving as u8),
             in_flight: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
             clock,
             tasks,
             bounds,
--- a/papayatrayd/src/gateway/state/entries.rs
+++ b/papayatrayd/src/gateway/state/entries.rs
@@ -183,12 +183,33 @@
         InFlightGuard(Arc::clone(self))
     }
 
+    /// Counts a caller's connection as open until the guard is dropped.
+    pub(in crate::gateway) fn track_connection(self: &Arc<Self>) -> ConnectionGuard {
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        ConnectionGuard(Arc::clone(self))
+    }
+
+    /// Returns whether a request is in flight, or a response has not been written to its end.
+    pub(in crate::gateway) fn is_busy(&self) -> bool {
+        self.in_flight() > 0 || self.open_connections.load(Ordering::Relaxed) > 0
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
     }
 }
 
+/// Guard that counts one connection of a caller as open.
+#[derive(Debug)]
+pub struct ConnectionGuard(Arc<Gateway>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Guard that counts one request as in flight.
 #[derive(Debug)]
 pub(in crate::gateway) struct InFlightGuard(Arc<Gateway>);
--- a/papayatrayd/tests/processes/faults.rs
+++ b/papayatrayd/tests/processes/faults.rs
@@ -1,8 +1,13 @@
 //! Failures of the gateway's processes, as callers and operators observe them.
 
+use std::io::Read;
+use std::io::Write;
 use std::thread;
 use std::time::Duration;
 
+use crate::memory::MAX_BODY_BYTES;
+use crate::memory::connect_with_small_window;
+use crate::memory::start_endpoint_of_large_responses;
 use crate::site::Site;
 use crate::site::call;
 use crate::site::start_endpoint;
@@ -162,3 +167,25 @@
         assert!(page.contains(sample), "{sample} is missing in\n{page}");
     }
 }
+
+/// Guards against a stopping entry that ends before the callers have read its last responses.
+#[test]
+fn stopping_entry_waits_for_a_caller_that_reads_slowly() {
+    let mut site = Site::start("slow-reader");
+    site.publish(1, "/a/");
+    site.announce(start_endpoint_of_large_responses());
+    site.wait_status(0, "/a/large", 500);
+    let mut stream = connect_with_small_window(site.caller_addresses[0]);
+    let head = "GET /a/large HTTP/1.1\r\nHost: site.example\r\n\
+                Papayatray-Request: r-1\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    thread::sleep(Duration::from_millis(500));
+    site.terminate("entry-0");
+    // The address is held for 600 ms; the entry has six seconds for its stop.
+    thread::sleep(Duration::from_secs(2));
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).unwrap();
+    let start = String::from_utf8_lossy(&response[..response.len().min(200)]);
+    assert!(response.len() > MAX_BODY_BYTES, "{start}");
+    site.wait_exit("entry-0");
+}
--- a/papayatrayd/tests/processes/memory.rs
+++ b/papayatrayd/tests/processes/memory.rs
@@ -24,7 +24,7 @@
 /// Bytes that the endpoint sends at once.
 const BLOCK_BYTES: usize = 12 << 10;
 /// Size limit of a request body, by the plan.
-const MAX_BODY_BYTES: usize = 4 << 20;
+pub const MAX_BODY_BYTES: usize = 4 << 20;
 /// Time in which a response of the largest size arrives.
 const RESPONSE_TIME: Duration = Duration::from_millis(100);
 /// Time for which the connections with incomplete requests stay open.
@@ -225,11 +225,11 @@
 
 /// Starts an endpoint that answers requests for `/a/sound` with events, and others with a failure of the
 /// largest size.
-fn start_endpoint_of_large_responses() -> SocketAddr {
+pub fn start_endpoint_of_large_responses() -> SocketAddr {
     let body = "x".repeat(MAX_BODY_BYTES);
     let start = format!(
         "HTTP/1.1 500 Failed\r\nPapayatray-Request: r-1\r\nPapayatray-Ran: s\r\n\
-         Content-Length: {MAX_BODY_BYTES}\r\n\r\n{body}"
+         Connection: close\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n{body}"
     );
     start_endpoint(Endless {
         start,
@@ -238,7 +238,7 @@
 }
 
 /// Opens a connection that takes few bytes unless they are read.
-fn connect_with_small_window(address: SocketAddr) -> TcpStream {
+pub fn connect_with_small_window(address: SocketAddr) -> TcpStream {
     let family = rustix::net::AddressFamily::INET;
     let socket = rustix::net::socket(family, rustix::net::SocketType::STREAM, None).unwrap();
     rustix::net::sockopt::set_socket_recv_buffer_size(&socket, 4 << 10).unwrap();
