fix(gateway): wait for a silent stream that no other endpoint may resume

A stall ended the endpoint's stream so that another one could resume it, also where none may. Such a stream now waits for its endpoint until the deadline; a connection that has died in silence is still found by its keep-alive probes. Streams that may be resumed are as before. Failed before: streams::silent_stream_that_cannot_be_resumed_is_waited_for.

--- a/papayatrayd/src/gateway/stream.rs
+++ b/papayatrayd/src/gateway/stream.rs
@@ -367,10 +367,12 @@
         self.last_event = event.id.or(self.last_event);
     }
 
-    /// Returns the time without an event after which a stream counts as stalled.
-    fn stall_timeout(&self) -> Millis {
+    /// Returns the time without an event after which a stream counts as stalled, or `None` if no other
+    /// endpoint may resume it: its endpoint may go on, as after a preemption.
+    fn stall_timeout(&self) -> Option<Millis> {
         let pause = self.request.route.pause.unwrap_or_default();
-        Millis::new(pause.as_u64() * STALL_PAUSE_FACTOR).max(MIN_STALL_TIMEOUT)
+        let timeout = Millis::new(pause.as_u64() * STALL_PAUSE_FACTOR).max(MIN_STALL_TIMEOUT);
+        self.can_retry().then_some(timeout)
     }
 }
 
@@ -421,11 +423,11 @@
             // Bytes that do not complete an event do not count as progress.
             let stall_remaining = attempts
                 .stall_timeout()
-                .since(now.since(self.last_progress));
-            if stall_remaining == Millis::ZERO {
+                .map(|timeout| timeout.since(now.since(self.last_progress)));
+            if stall_remaining == Some(Millis::ZERO) {
                 return StreamItem::Broken(BreakCause::Lost, "no event came for too long");
             }
-            let limit = remaining.min(stall_remaining);
+            let limit = remaining.min(stall_remaining.unwrap_or(remaining));
             let reading = async { Some(self.started.body.frame().await) };
             let timeout = async {
                 Timer::after(limit.to_duration()).await;
--- a/papayatrayd/tests/gateway/streams.rs
+++ b/papayatrayd/tests/gateway/streams.rs
@@ -9,6 +9,9 @@
 use papayatray_core::clock::Millis;
 use papayatray_core::directory::Endpoint;
 use papayatray_core::gateway::arrivals::ArrivalBound;
+use papayatray_core::gateway::plan::Plan;
+use papayatray_core::gateway::plan::Route;
+use papayatray_core::gateway::plan::RouteKind;
 use papayatray_core::id::PlanVersion;
 use papayatray_wire::peer::Deregistration;
 use papayatray_wire::peer::EndpointUpdates;
@@ -26,6 +29,7 @@
 use crate::rig::Rig;
 use crate::rig::announcement;
 use crate::rig::plan;
+use crate::rig::route;
 
 /// Returns the steps of a complete stream of the events `from..=to`.
 ///
@@ -136,6 +140,31 @@
     }
 }
 
+/// Guards against a stream that is cut off for its silence though no other endpoint may go on with it.
+#[test]
+fn silent_stream_that_cannot_be_resumed_is_waited_for() {
+    const SILENCE: Duration = Duration::from_millis(3_500);
+    let silent = FakeEndpoint::start(|_, request| {
+        let mut steps = vec![Step::Send(stream_head(request, 90)), Step::Send(event(1))];
+        steps.push(Step::Wait(SILENCE));
+        steps.extend([Step::Send(event(2)), Step::Send(end())]);
+        steps
+    });
+    let kind = RouteKind::Stream { resumable: false };
+    let lasting = Route {
+        timeout: Millis::from_secs(10),
+        ..route(kind, "/lasting/")
+    };
+    let rig = Rig::without_plan();
+    let plan = Plan {
+        routes: vec![lasting],
+        ..plan()
+    };
+    rig.apply_update(plan, &[&silent]);
+    let received = rig.request("/lasting/x", "Papayatray-Deadline-Ms: 9000\r\n");
+    assert_eq!(received_events(&received), (vec![1, 2], true));
+}
+
 #[test]
 fn events_repeated_after_a_resume_are_dropped() {
     let faulty_endpoint = interrupted(vec![Step::Close]);
