--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -15,9 +15,10 @@
 use smol::Timer;
 use smol::future::FutureExt;
 
+pub(super) use self::break_cause::BreakCause;
+use self::release::ReleaseChoice;
 use super::attempt::InFlightAttempt;
 use super::attempt::StartedResponse;
-use super::body::BodyError;
 use super::connection_pool::EndpointResponse;
 use super::connection_pool::ExchangeError;
 use super::connection_pool::OutgoingRequest;
@@ -35,6 +36,9 @@
 use super::state::PlacementRequest;
 use crate::observe::request_event;
 
+mod break_cause;
+mod release;
+
 /// Minimum time left until the deadline for an attempt to be started.
 const MIN_REMAINING: Millis = Millis::new(20);
 /// Endpoints that may reject a request or be unreachable before the request is refused.
@@ -46,38 +50,6 @@
 const QUARANTINE_REASON: &str =
     "the request or a part of its prompt is quarantined: endpoints crashed on it";
 
-/// Why a response that had started is of no use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum BreakCause {
-    /// The connection was lost, as by a crash of the endpoint.
-    Lost,
-    /// The response breaks a rule or a limit.
-    Invalid,
-    /// This entry has no memory for it.
-    NoMemory,
-}
-
-impl From<&BodyError> for BreakCause {
-    fn from(error: &BodyError) -> Self {
-        match error {
-            BodyError::CutOff(_) => Self::Lost,
-            error if error.is_fault_of_sender() => Self::Invalid,
-            _ => Self::NoMemory,
-        }
-    }
-}
-
-impl BreakCause {
-    /// Returns the reason why the request fails if it may not be retried.
-    pub(super) const fn reason(self) -> &'static str {
-        match self {
-            Self::Lost => "the endpoint cut off its response",
-            Self::Invalid => "the response of the endpoint exceeds a limit",
-            Self::NoMemory => "this entry has no memory for the response of the endpoint",
-        }
-    }
-}
-
 /// State of one request over all its attempts.
 #[derive(Debug)]
 pub(super) struct Attempts {
@@ -110,15 +82,6 @@
     release_choice: ReleaseChoice,
 }
 
-/// How it is decided whether a request without a session may use the release in roll-out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReleaseChoice {
-    /// By the request's draw.
-    Draw,
-    /// The canary gets it beyond its share.
-    Granted,
-}
-
 impl Attempts {
     pub(super) fn new(gateway: Arc<Gateway>, request: Arc<RoutedRequest>) -> Self {
         let now = gateway.clock.now();
@@ -141,37 +104,6 @@
         }
     }
 
-    /// Records that the endpoint of an attempt failed the request, for its health and its release.
-    pub(super) fn record_failure(&mut self, attempt: &InFlightAttempt) {
-        attempt.record_failure();
-        let is_target = self.gateway.is_in_rollout(&attempt.endpoint);
-        self.failures.record(attempt.endpoint.clone(), is_target);
-    }
-
-    /// Counts the failed responses for their releases, as another endpoint has answered the request.
-    pub(super) fn count_failures(&mut self) {
-        for endpoint in self.failures.take_counted() {
-            let route = &self.request.route.name;
-            self.gateway.record_failed_response(&endpoint, route);
-        }
-    }
-
-    /// Returns the number that decides whether the next attempt may use the release in roll-out.
-    ///
-    /// Requests of a session all have the same one. Any other request that this release has failed is
-    /// sent to another one.
-    fn release_draw(&self) -> f64 {
-        if self.request.has_session {
-            self.request.session_draw
-        } else if self.failures.has_failed_at_target() {
-            1.0
-        } else if self.release_choice == ReleaseChoice::Granted {
-            0.0
-        } else {
-            self.request.session_draw
-        }
-    }
-
     /// Returns how many further attempts may run the request, by the route's limit.
     ///
     /// A limit of 0 counts as 1.
@@ -347,25 +279,6 @@
         Ok(endpoint)
     }
 
-    /// Asks for an additional request of the canary, if the request has no session.
-    fn request_grant(&mut self) {
-        let service = &self.request.service;
-        if self.release_choice == ReleaseChoice::Draw
-            && !self.request.has_session
-            && self.gateway.grant_canary(service)
-        {
-            self.release_choice = ReleaseChoice::Granted;
-        }
-    }
-
-    /// Takes back a grant that was not used.
-    fn take_back_grant(&mut self) {
-        if self.release_choice == ReleaseChoice::Granted {
-            self.gateway.take_back_canary(&self.request.service);
-            self.release_choice = ReleaseChoice::Draw;
-        }
-    }
-
     /// Returns the refusal for a request that no endpoint may get.
     fn no_endpoint_refusal(&self) -> Refusal {
         let now = self.gateway.clock.now();
@@ -674,9 +587,3 @@
         );
     }
 }
-
-impl Drop for Attempts {
-    fn drop(&mut self) {
-        self.count_failures();
-    }
-}
