test(gateway): a rate limit whose time slot cannot begin during the test

Traced: with a limit of a request every two seconds, shared by seven entries, an entry may send one when its time slot begins, every 14 s by the wall clock. With the clock of the test advanced in steps of 100 ms, /stream/x passes after 3.1 s and 17.0 s, as it must, and gets 502 as the response is no stream. The test runs on the wall clock and meets the beginning of a slot now and then.

The limit is now one in 100 s, so that a slot of the entry begins every 700 s. Every kind of request must be refused as before.

--- a/papayatrayd/tests/gateway/rate_limits.rs
+++ b/papayatrayd/tests/gateway/rate_limits.rs
@@ -170,7 +170,8 @@
 
 #[test]
 fn requests_of_all_kinds_count_towards_the_limit() {
-    let limited = limiting_endpoint("0.5");
+    // The time slot of an entry comes every 700 s, and may begin during the test otherwise.
+    let limited = limiting_endpoint("0.01");
     let site = Site::start(&[&limited]);
     let entry = &site.entries[0];
     assert_eq!(entry.request("/safe/x", "").status, 200);
