refactor(gateway): one timed reader of bodies, no copies of counts that are not sent, one reader of heads in tests

- Buffered responses had a time-out of their own around `read_body` beside `read_body_within`; they use the latter.
- Each sync copied the counts by route of every release and then cleared them where no roll-out runs.
- The rule of succession stood twice in the evidence on releases.
- Three tests of processes read request heads by the same loop; the benchmark's `hopeless` said less than `fails_everywhere`.

--- a/papayatray_bench/src/decisions/plain_releases.rs
+++ b/papayatray_bench/src/decisions/plain_releases.rs
@@ -62,7 +62,7 @@
     /// Share of the requests that fail now and then, at any endpoint.
     noise: f64,
     /// Share of the requests that fail at every endpoint.
-    hopeless: f64,
+    always_failing: f64,
 }
 
 const ROUTES: [RouteLoad; 3] = [
@@ -71,21 +71,21 @@
         share: 0.66,
         is_repeatable: false,
         noise: 0.004,
-        hopeless: 0.0,
+        always_failing: 0.0,
     },
     RouteLoad {
         name: "look-up",
         share: 0.24,
         is_repeatable: true,
         noise: 0.004,
-        hopeless: 0.14,
+        always_failing: 0.14,
     },
     RouteLoad {
         name: "history",
         share: 0.10,
         is_repeatable: true,
         noise: 0.004,
-        hopeless: 0.14,
+        always_failing: 0.14,
     },
 ];
 
@@ -277,7 +277,7 @@
         });
         let index = index.unwrap_or(0);
         let route = ROUTES[index];
-        let is_hopeless = uniform(rng) < route.hopeless;
+        let fails_everywhere = uniform(rng) < route.always_failing;
         let mut failures = RequestFailures::default();
         let mut uses_target = is_target;
         for _ in 0..if route.is_repeatable { 3 } else { 1 } {
@@ -292,7 +292,7 @@
             } else {
                 0.0
             };
-            let is_failure = is_hopeless
+            let is_failure = fails_everywhere
                 || uniform(rng) < route.noise
                 || uniform(rng) < grey
                 || uniform(rng) < defect;
--- a/papayatray_core/src/gateway/release_evidence.rs
+++ b/papayatray_core/src/gateway/release_evidence.rs
@@ -125,12 +125,15 @@
     /// Adds responses of the target; returns whether it has regressed on this route.
     fn add_target(&mut self, target: &Tally) -> bool {
         let [good, bad] = self.baseline;
-        // The rule of succession: without any response, the rate is taken for one half.
-        let rate = (bad + 1.0) / (good + bad + 2.0);
-        self.detector.add_at_rate(target, rate)
+        self.detector.add_at_rate(target, bad_share(good, bad))
     }
 }
 
+/// Estimates the share of bad results by the rule of succession: without any result, one half.
+fn bad_share(good: f64, bad: f64) -> f64 {
+    (bad + 1.0) / (good + bad + 2.0)
+}
+
 /// Evidence on one roll-out.
 #[derive(Clone, Debug)]
 pub struct ReleaseEvidence {
@@ -222,7 +225,7 @@
     /// The ratios of the others may vary so much that [`SlowdownDetector`] needs more streams to tell.
     fn is_mostly_slow(&self) -> bool {
         let Tally { good, bad } = self.others.paces;
-        let rate = (bad as f64 + 1.0) / (good as f64 + bad as f64 + 2.0);
+        let rate = bad_share(good as f64, bad as f64);
         rate < SLOW_RELEASE_SHARE
             && self
                 .total
@@ -298,6 +301,17 @@
 }
 
 impl ReleaseResults {
+    /// Returns the results without those by route.
+    #[must_use]
+    pub const fn without_routes(&self) -> Self {
+        Self {
+            responses: self.responses,
+            paces: self.paces,
+            ratios: self.ratios,
+            routes: BTreeMap::new(),
+        }
+    }
+
     /// Counts a whole response, or the first event of a stream, on a route.
     pub fn count_response(&mut self, route: &str, is_good: bool) {
         self.responses.count(is_good);
--- a/papayatrayd/src/gateway/relay.rs
+++ b/papayatrayd/src/gateway/relay.rs
@@ -17,14 +17,11 @@
 use hyper::body::Incoming;
 use papayatray_core::clock::Millis;
 use papayatray_core::gateway::plan::CallerLimits;
-use smol::Timer;
-use smol::future::FutureExt;
 
 use super::attempt::StartedResponse;
 use super::attempts::Attempts;
 use super::attempts::BreakCause;
 use super::body::BodyError;
-use super::body::read_body;
 use super::body::read_body_within;
 use super::buffers::BufferSource;
 use super::buffers::Reservation;
@@ -286,18 +283,13 @@
     let remaining = attempts.request.remaining(attempts.gateway.clock.now());
     let source = BufferSource::Endpoint(started.attempt.endpoint.id.clone());
     let reservation = attempts.gateway.buffers.reservation(source);
-    let reading =
-        async { Some(read_body(&mut started.body, MAX_BUFFERED_BYTES, reservation).await) };
-    let timeout = async {
-        Timer::after(remaining.to_duration()).await;
-        None
-    };
-    match reading.or(timeout).await {
-        None => {
+    let body = &mut started.body;
+    match read_body_within(body, MAX_BUFFERED_BYTES, reservation, remaining).await {
+        Err(BodyError::TimedOut(_)) => {
             attempts.record_failure(&started.attempt);
             Err(Refusal::TimedOut)
         }
-        Some(Err(error)) => {
+        Err(error) => {
             event(
                 Level::Info,
                 "answer_broken",
@@ -314,7 +306,7 @@
                 Err(Refusal::Failed(cause.reason()))
             }
         }
-        Some(Ok(body)) => {
+        Ok(body) => {
             if started.head.status.is_success() && started.metadata.has_run {
                 started.attempt.record_answered(&attempts.request);
             }
--- a/papayatrayd/src/gateway/state/releases.rs
+++ b/papayatrayd/src/gateway/state/releases.rs
@@ -148,17 +148,17 @@
             rollout.is_some_and(|rollout| rollout.state == RolloutState::Running)
         };
         let tallies = lock(&self.tallies);
-        let all = tallies.iter().map(|((service, release), results)| {
-            let mut results = results.clone();
-            if !is_running(service) {
-                results.routes.clear();
-            }
-            ReleaseTally {
+        let all = tallies
+            .iter()
+            .map(|((service, release), results)| ReleaseTally {
                 service: service.clone(),
                 release: release.clone(),
-                results,
-            }
-        });
+                results: if is_running(service) {
+                    results.clone()
+                } else {
+                    results.without_routes()
+                },
+            });
         all.collect()
     }
 }
--- a/papayatrayd/tests/processes/crashes.rs
+++ b/papayatrayd/tests/processes/crashes.rs
@@ -1,6 +1,5 @@
 //! Endpoints that crash on requests with one prompt part, whatever else the requests hold.
 
-use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::SocketAddr;
@@ -16,6 +15,7 @@
 
 use crate::site::Site;
 use crate::site::call_with_headers;
+use crate::site::read_head;
 
 /// Prompt part on which endpoints crash.
 const POISON_PART: &str = "dead";
@@ -72,7 +72,7 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
-        let Some(head) = read_head(&mut stream) else {
+        let Some(head) = read_head(&mut stream).map(|head| head.to_ascii_lowercase()) else {
             return;
         };
         let is_poison = head.contains(&format!("{POISON_PART}:"));
@@ -113,18 +113,6 @@
     }
 }
 
-fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0; 1];
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        head.push(byte[0]);
-    }
-    Some(String::from_utf8_lossy(&head).to_ascii_lowercase())
-}
-
 /// Site whose endpoints crash, with callers that send sound requests until it is dropped.
 struct CrashingSite {
     site: Arc<Site>,
--- a/papayatrayd/tests/processes/memory.rs
+++ b/papayatrayd/tests/processes/memory.rs
@@ -13,6 +13,7 @@
 use crate::site::Site;
 use crate::site::call;
 use crate::site::call_with_headers;
+use crate::site::read_head;
 
 /// Requests that the endpoint answers without end at the same time.
 const REQUESTS: usize = 40;
@@ -57,18 +58,6 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0; 1];
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        head.push(byte[0]);
-    }
-    Some(String::from_utf8_lossy(&head).into_owned())
-}
-
 /// Sends a stream of events, each a chunk.
 fn send_events(stream: &mut TcpStream) -> std::io::Result<()> {
     stream.write_all(EVENTS_HEAD.as_bytes())?;
--- a/papayatrayd/tests/processes/site.rs
+++ b/papayatrayd/tests/processes/site.rs
@@ -319,6 +319,19 @@
     (status.unwrap_or(0), rest.to_owned())
 }
 
+/// Reads the head of a request; returns `None` if the connection ends before.
+pub fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0; 1];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
 /// Starts an endpoint that responds with a stream of `events` events, `pause` apart.
 pub fn start_endpoint(events: u64, pause: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -326,13 +339,8 @@
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
             thread::spawn(move || {
-                let mut head = Vec::new();
-                let mut byte = [0; 1];
-                while !head.ends_with(b"\r\n\r\n") {
-                    if stream.read(&mut byte).unwrap_or(0) == 0 {
-                        return;
-                    }
-                    head.push(byte[0]);
+                if read_head(&mut stream).is_none() {
+                    return;
                 }
                 // The header `Papayatray-Ran` states that the endpoint ran the request.
                 let mut out = "HTTP/1.1 200 OK\r\nPapayatray-Request: r-1\r\n\
