fix(state): count only answers to a leadership's own messages for its lease

Callers read a version of the configuration that had been overtaken for over 2 s: a control replica that had restarted, led again and was then cut off went on as leader of its old term while the other two led the next one.

Cause: messages carried the time of sending by the leader's clock, and answers carried it back. The answer to a message of an older term has the present term, and the leader compared terms only. Heartbeats of its earlier process, held up by a cut, so counted for its present lease, with times ahead of its clock, which begins anew with each process.

`foreign_replies_ignored` and `papayatray_foreign_replies` show such answers from now on.

Messages now carry a mark, counted from a number that each leadership draws; other marks are ignored, and the answer to an older term carries none, so that a leader of an earlier build is not misled by it either. The encoding is as before.

Tests: `answer_to_an_earlier_process_extends_no_lease` failed before ("at most one leader has a valid lease", cluster.rs). The simulated clocks now begin anew with each process, messages can be held back across restarts, and a current leader must have all acknowledged changes.

--- a/papayatray_state/src/replica/core.rs
+++ b/papayatray_state/src/replica/core.rs
@@ -20,6 +20,7 @@
 use super::Snapshot;
 use super::boot::Boot;
 use super::earlier_promise::EarlierPromise;
+use super::message::SendMarks;
 
 /// Shortest time without a leader after which a replica starts an election.
 pub const MIN_ELECTION_TIMEOUT: Millis = Millis::new(400);
@@ -128,6 +129,10 @@
     pub(super) last_heartbeat: Millis,
     /// Time at which this replica last became leader.
     pub(super) led_since: Millis,
+    /// Marks of the messages that this replica has sent since then.
+    pub(super) send_marks: SendMarks,
+    /// Answers that were ignored, as they belong to no message of the leadership that received them.
+    pub(super) foreign_replies: u64,
     /// Replicas that granted their pre-vote or vote in the current round.
     pub(super) votes: BTreeSet<ReplicaId>,
     /// Replication progress of each other member, while this replica leads.
@@ -185,6 +190,8 @@
             election_timeout: MIN_ELECTION_TIMEOUT,
             last_heartbeat: now,
             led_since: now,
+            send_marks: SendMarks::new(seed, now),
+            foreign_replies: 0,
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
             acknowledged_by: BTreeMap::new(),
@@ -259,6 +266,12 @@
         self.led_since
     }
 
+    /// Returns how many answers this replica has ignored since its start, because no message of the
+    /// leadership that received them is what they answer.
+    pub const fn foreign_replies(&self) -> u64 {
+        self.foreign_replies
+    }
+
     /// Tells whether the replica is proven to know every committed command.
     ///
     /// It must lead, not be transferring its leadership, hold a valid leader lease, and have
@@ -376,16 +389,16 @@
                 term,
                 matched,
                 last,
-                sent,
+                mark,
             } => {
-                self.on_append_reply(from, term, matched, last, sent);
+                self.on_append_reply(from, term, matched, last, mark);
             }
             Message::InstallSnapshot {
                 term,
                 snapshot,
-                sent,
+                mark,
             } => {
-                self.on_install_snapshot(from, term, snapshot, sent);
+                self.on_install_snapshot(from, term, snapshot, mark);
             }
             Message::TimeoutNow { term } => self.on_timeout_now(from, term),
             Message::RollbackCheckRequest { .. }
@@ -528,11 +541,18 @@
     }
 
     pub(super) fn draw_election_timeout(&mut self) {
-        // Xorshift is good enough: the replicas only need to start elections at different times.
+        self.election_timeout =
+            MIN_ELECTION_TIMEOUT + Millis::new(self.draw() % ELECTION_TIMEOUT_SPREAD_MS);
+    }
+
+    /// Draws a number.
+    ///
+    /// Xorshift is good enough: elections only need to start at different times, and numbers to differ
+    /// between leaderships.
+    pub(super) const fn draw(&mut self) -> u64 {
         self.random ^= self.random << 13;
         self.random ^= self.random >> 7;
         self.random ^= self.random << 17;
-        self.election_timeout =
-            MIN_ELECTION_TIMEOUT + Millis::new(self.random % ELECTION_TIMEOUT_SPREAD_MS);
+        self.random
     }
 }
--- a/papayatray_state/src/replica/election.rs
+++ b/papayatray_state/src/replica/election.rs
@@ -11,6 +11,7 @@
 use super::Role;
 use super::core::MIN_ELECTION_TIMEOUT;
 use super::core::Progress;
+use super::message::SendMarks;
 
 impl Replica {
     pub(super) fn tick_follower(&mut self) {
@@ -193,6 +194,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.id.clone());
         self.led_since = self.now;
+        self.send_marks = SendMarks::new(self.draw(), self.now);
         self.transfer_start = None;
         self.progress.clear();
         let next = self.log.last().index + 1;
--- a/papayatray_state/src/replica/message.rs
+++ b/papayatray_state/src/replica/message.rs
@@ -63,6 +63,47 @@
     pub state: Vec<u8>,
 }
 
+/// Mark that a leader puts on its messages, by which it recognises their answers.
+///
+/// Only the leadership that has sent the message can tell from it when that was: a time alone would mean
+/// something else to another process, whose clock starts anew, and to a later term of the same process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SendMark(u64);
+
+impl SendMark {
+    /// Mark of an answer that acknowledges no message.
+    pub const NONE: Self = Self(0);
+}
+
+/// Marks of one leadership: they count the milliseconds since its start from a number that it has drawn.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SendMarks {
+    base: u64,
+    start: Millis,
+}
+
+impl SendMarks {
+    /// Creates the marks of a leadership that starts at `start` and has drawn the number `drawn`.
+    pub(super) const fn new(drawn: u64, start: Millis) -> Self {
+        // Half of the range is left for the count, and 0 for `SendMark::NONE`.
+        let base = (drawn >> 1) | 1;
+        Self { base, start }
+    }
+
+    /// Returns the mark of a message that is sent at `now`.
+    pub(super) const fn mark(self, now: Millis) -> SendMark {
+        SendMark(self.base + now.since(self.start).as_u64())
+    }
+
+    /// Returns when this leadership sent the message with the mark, or `None` if it did not.
+    pub(super) fn sent_at(self, mark: SendMark, now: Millis) -> Option<Millis> {
+        let elapsed = Millis::new(mark.0.checked_sub(self.base)?);
+        let sent_at = self.start + elapsed;
+        (sent_at <= now).then_some(sent_at)
+    }
+}
+
 /// Message between replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -106,8 +147,8 @@
         entries: Vec<Entry>,
         /// Index of the last committed entry.
         commit: Index,
-        /// Time of sending by the leader's clock.
-        sent: Millis,
+        /// Mark of this message.
+        mark: SendMark,
         /// Highest index that each replica has acknowledged in this term; heartbeats only.
         acknowledged_by: BTreeMap<ReplicaId, Index>,
     },
@@ -120,8 +161,9 @@
         /// Last index of the replying replica; after a mismatch the leader goes back to the entry
         /// after it, or further.
         last: Index,
-        /// Time of sending, copied from the leader's message.
-        sent: Millis,
+        /// Mark of the message that the receiver has accepted; [`SendMark::NONE`] if the receiver has
+        /// rejected it, because it belongs to an older term.
+        mark: SendMark,
     },
     /// Replaces the receiver's log and state by a snapshot.
     InstallSnapshot {
@@ -129,8 +171,8 @@
         term: Term,
         /// The snapshot.
         snapshot: Snapshot,
-        /// Time of sending by the leader's clock.
-        sent: Millis,
+        /// Mark of this message.
+        mark: SendMark,
     },
     /// Transfers leadership: the receiver starts an election without waiting for its timeout.
     TimeoutNow {
--- a/papayatray_state/src/replica/mod.rs
+++ b/papayatray_state/src/replica/mod.rs
@@ -28,4 +28,5 @@
 pub use self::message::Message;
 pub use self::message::Payload;
 pub use self::message::Position;
+pub use self::message::SendMark;
 pub use self::message::Snapshot;
--- a/papayatray_state/src/replica/replication.rs
+++ b/papayatray_state/src/replica/replication.rs
@@ -14,6 +14,7 @@
 use super::Replica;
 use super::ReplicaId;
 use super::Role;
+use super::SendMark;
 use super::Snapshot;
 use super::core::HEARTBEAT_INTERVAL;
 use super::core::Progress;
@@ -94,7 +95,7 @@
             },
             entries,
             commit: self.commit,
-            sent: self.now,
+            mark: self.send_marks.mark(self.now),
             acknowledged_by: if is_heartbeat {
                 self.match_indexes()
             } else {
@@ -126,7 +127,7 @@
         let message = Message::InstallSnapshot {
             term: self.hard_state.term,
             snapshot: self.snapshot.clone(),
-            sent: self.now,
+            mark: self.send_marks.mark(self.now),
         };
         self.send(to, message);
     }
@@ -154,13 +155,13 @@
             previous,
             entries,
             commit,
-            sent,
+            mark,
             acknowledged_by,
         } = message
         else {
             return;
         };
-        if !self.accept_leader(from, term, sent) {
+        if !self.accept_leader(from, term) {
             return;
         }
         for (id, index) in acknowledged_by {
@@ -170,13 +171,16 @@
         if let Some(matched) = matched {
             self.commit = self.commit.max(commit.min(matched));
         }
-        self.reply_append(from, matched, sent);
+        self.reply_append(from, matched, mark);
     }
 
     /// Accepts `from` as the leader of `term`; rejects and answers the leader of an older term.
-    fn accept_leader(&mut self, from: &ReplicaId, term: Term, sent: Millis) -> bool {
+    ///
+    /// The answer to an older term informs of the term and acknowledges nothing: the sender may lead the
+    /// present term by now, in a later process, and this replica has promised it nothing here.
+    fn accept_leader(&mut self, from: &ReplicaId, term: Term) -> bool {
         if term < self.hard_state.term {
-            self.reply_append(from, None, sent);
+            self.reply_append(from, None, SendMark::NONE);
             return false;
         }
         self.observe_term(term);
@@ -190,12 +194,12 @@
         true
     }
 
-    fn reply_append(&mut self, to: &ReplicaId, matched: Option<Index>, sent: Millis) {
+    fn reply_append(&mut self, to: &ReplicaId, matched: Option<Index>, mark: SendMark) {
         let message = Message::AppendReply {
             term: self.hard_state.term,
             matched,
             last: self.log.last().index,
-            sent,
+            mark,
         };
         self.send(to, message);
     }
@@ -226,9 +230,9 @@
         from: &ReplicaId,
         term: Term,
         snapshot: Snapshot,
-        sent: Millis,
+        mark: SendMark,
     ) {
-        if !self.accept_leader(from, term, sent) {
+        if !self.accept_leader(from, term) {
             return;
         }
         let index = snapshot.position.index;
@@ -237,7 +241,7 @@
             self.load(snapshot);
         }
         self.commit = self.commit.max(index);
-        self.reply_append(from, Some(index), sent);
+        self.reply_append(from, Some(index), mark);
     }
 
     pub(super) fn on_append_reply(
@@ -246,12 +250,16 @@
         term: Term,
         matched: Option<Index>,
         last: Index,
-        sent: Millis,
+        mark: SendMark,
     ) {
         self.observe_term(term);
         if self.role != Role::Leader || term != self.hard_state.term {
             return;
         }
+        let Some(sent) = self.send_marks.sent_at(mark, self.now) else {
+            self.foreign_replies += 1;
+            return;
+        };
         let last_index = self.log.last().index;
         let Some(progress) = self.progress.get_mut(from) else {
             return;
--- a/papayatray_state/tests/state/cluster.rs
+++ b/papayatray_state/tests/state/cluster.rs
@@ -36,6 +36,8 @@
 
 /// Maximum number of messages in transit; beyond it the oldest are lost.
 const MAX_IN_TRANSIT: usize = 2_000;
+/// Time of a process's clock at its start, as in the daemon.
+const PROCESS_START: Millis = Millis::from_secs(3_600);
 
 /// VM with its node, which may be stopped.
 #[derive(Debug)]
@@ -48,6 +50,8 @@
     pub node: Option<Node<FakeDisk>>,
     /// Disk, while the node is stopped.
     pub disk: FakeDisk,
+    /// Time of the VM's clock at which the node started.
+    started_at: Millis,
     /// Rate of the VM's clock, in thousandths of the rate of real time.
     pub rate: u64,
     /// Offset of the VM's clock in milliseconds, so that it stays continuous when `rate` changes.
@@ -72,6 +76,8 @@
     pub vms: Vec<Vm>,
     /// Messages in transit.
     pub network: Vec<Envelope>,
+    /// Messages that arrive only after [`Cluster::release_delayed`].
+    delayed: Vec<Envelope>,
     /// Pairs of VMs where messages from the first to the second are lost.
     pub blocked_links: BTreeSet<(usize, usize)>,
     /// Results that were returned to clients.
@@ -88,6 +94,8 @@
     committed: BTreeMap<Index, Position>,
     /// Number of data folders created so far, which is the number of the last folder.
     folders: u64,
+    /// Number of processes started so far.
+    starts: u64,
     /// Number of voters that leaders maintain automatically; `None` disables self-repair.
     target_voters: Option<usize>,
 }
@@ -107,6 +115,7 @@
         let mut cluster = Self {
             vms: Vec::new(),
             network: Vec::new(),
+            delayed: Vec::new(),
             blocked_links: BTreeSet::new(),
             replies: Replies::default(),
             now: 1_000_000,
@@ -115,6 +124,7 @@
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
             folders: 0,
+            starts: 0,
             target_voters,
         };
         for number in 0..count {
@@ -139,6 +149,7 @@
             id,
             node: None,
             disk,
+            started_at: Millis::ZERO,
             rate,
             offset,
         });
@@ -154,8 +165,13 @@
         self.vms[number].id.folder = Incarnation(self.folders);
     }
 
-    /// Returns the time of a VM's clock.
+    /// Returns the time of the clock of a VM's process, which begins anew with each process.
     pub fn clock(&self, number: usize) -> Millis {
+        PROCESS_START + self.vm_clock(number).since(self.vms[number].started_at)
+    }
+
+    /// Returns the time of a VM's clock.
+    fn vm_clock(&self, number: usize) -> Millis {
         let vm = &self.vms[number];
         let elapsed = i64::try_from(self.now * vm.rate / 1_000).unwrap();
         Millis::new(u64::try_from(elapsed + vm.offset).unwrap())
@@ -163,7 +179,7 @@
 
     /// Sets the rate of a VM's clock, in thousandths of real time; the clock does not jump.
     pub fn set_rate(&mut self, number: usize, rate: u64) {
-        let before = i64::try_from(self.clock(number).as_u64()).unwrap();
+        let before = i64::try_from(self.vm_clock(number).as_u64()).unwrap();
         let vm = &mut self.vms[number];
         vm.rate = rate;
         vm.offset = before - i64::try_from(self.now * rate / 1_000).unwrap();
@@ -184,6 +200,8 @@
         if self.vms[number].node.is_some() {
             return;
         }
+        self.starts += 1;
+        self.vms[number].started_at = self.vm_clock(number);
         let now = self.clock(number);
         let founders = self.vms[..3.min(self.vms.len())].iter();
         let founders = founders
@@ -192,7 +210,7 @@
         let vm = &mut self.vms[number];
         let disk = std::mem::take(&mut vm.disk);
         let (store, loaded) = Store::open(disk).expect("what was synced can be read");
-        let seed = 7_919 * (number as u64 + 1) + now.as_u64();
+        let seed = 7_919 * self.starts;
         let address = vm.name.to_string();
         let node = Node::new(vm.id.clone(), &address, store, loaded, seed, now);
         let mut node = node.expect("a snapshot that was synced can be read");
@@ -248,6 +266,27 @@
         self.deliver_envelope(envelope);
     }
 
+    /// Blocks all links of a VM.
+    pub fn isolate(&mut self, vm: usize) {
+        for other in 0..self.vms.len() {
+            self.blocked_links.extend([(vm, other), (other, vm)]);
+        }
+    }
+
+    /// Delays all messages in transit until [`Self::release_delayed`].
+    pub fn delay_messages(&mut self) {
+        self.delayed.append(&mut self.network);
+        let excess = self.delayed.len().saturating_sub(MAX_IN_TRANSIT);
+        self.delayed.drain(..excess);
+    }
+
+    /// Puts the delayed messages before the others in transit.
+    pub fn release_delayed(&mut self) {
+        let later = std::mem::take(&mut self.network);
+        self.network = std::mem::take(&mut self.delayed);
+        self.network.extend(later);
+    }
+
     fn deliver_envelope(&mut self, envelope: Envelope) {
         let from = self.vms.iter().position(|vm| vm.name == envelope.from.vm);
         let to = self.vms.iter().position(|vm| vm.name == envelope.to.vm);
@@ -281,7 +320,7 @@
 
     /// Proposes a command on the node of a VM, if it runs.
     pub fn propose(&mut self, number: usize, command: Command) {
-        let at = self.clock(number);
+        let at = self.vm_clock(number);
         self.last_id += 1;
         let id = self.last_id;
         if let Some(node) = &mut self.vms[number].node {
@@ -383,9 +422,20 @@
         }
     }
 
-    /// Checks the invariants: one leader per term, one valid leader lease at a time, and equal
-    /// committed entries on all nodes.
+    /// Returns the last revision that was acknowledged to a client.
+    fn acknowledged_revision(&self) -> Revision {
+        let outcomes = self.replies.changes.values();
+        let accepted = outcomes.filter_map(|outcome| match outcome {
+            Outcome::Accepted(revision) => Some(*revision),
+            _ => None,
+        });
+        accepted.max().unwrap_or(Revision(0))
+    }
+
+    /// Checks the invariants: one leader per term, one valid leader lease at a time, no acknowledged
+    /// change that a current leader lacks, and equal committed entries on all nodes.
     fn check_invariants(&mut self) {
+        let acknowledged = self.acknowledged_revision();
         let mut current_leaders = 0;
         for number in 0..self.vms.len() {
             let now = self.clock(number);
@@ -393,7 +443,15 @@
                 continue;
             };
             let replica = node.replica();
-            current_leaders += usize::from(replica.is_current(now));
+            if replica.is_current(now) {
+                current_leaders += 1;
+                let served = node.machine().catalogue().revision;
+                assert!(
+                    served >= acknowledged,
+                    "{} serves revision {served} although {acknowledged} is acknowledged",
+                    replica.id()
+                );
+            }
             if replica.role() == Role::Leader {
                 let first = self
                     .leaders
--- a/papayatray_state/tests/state/histories.rs
+++ b/papayatray_state/tests/state/histories.rs
@@ -28,6 +28,8 @@
     Drop(usize),
     /// Place of the message in the network.
     Duplicate(usize),
+    DelayMessages,
+    ReleaseDelayed,
     /// VM that sends, VM that receives.
     BlockLink(usize, usize),
     /// VM.
@@ -39,6 +41,8 @@
     CrashAll(usize),
     /// VM.
     Start(usize),
+    /// VM, whose process is replaced at once.
+    Restart(usize),
     /// VM, thousandths of the rate of real time.
     SetClockRate(usize, u64),
     /// Rounds of 40 ms.
@@ -54,6 +58,30 @@
     /// VM.
     LoseDisk(usize),
     TransferLeadership,
+    RestartLeader,
+    IsolateLeader,
+}
+
+/// Steps in which messages arrive late, after their senders have restarted and lead again.
+fn late_message_steps() -> impl Strategy<Value = Vec<Step>> {
+    let vm = 0..3_usize;
+    let step = prop_oneof![
+        // Heartbeats are in transit after this.
+        3 => (80..160_u64).prop_map(Step::Advance),
+        3 => proptest::strategy::Just(Step::DelayMessages),
+        3 => proptest::strategy::Just(Step::ReleaseDelayed),
+        3 => proptest::strategy::Just(Step::RestartLeader),
+        1 => vm.clone().prop_map(Step::Restart),
+        1 => vm.clone().prop_map(|vm| Step::Crash(vm, 0)),
+        1 => vm.prop_map(Step::Start),
+        3 => proptest::strategy::Just(Step::IsolateLeader),
+        2 => proptest::strategy::Just(Step::UnblockLinks),
+        1 => proptest::strategy::Just(Step::TransferLeadership),
+        4 => (1..4_usize).prop_map(Step::Settle),
+        4 => (10..60_usize).prop_map(Step::Settle),
+        3 => (0..40_u64).prop_map(Step::ChangeOnLeader),
+    ];
+    proptest::collection::vec(step, 20..80)
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
@@ -63,12 +91,15 @@
         8 => proptest::collection::vec(any::<usize>(), 1..12).prop_map(Step::Deliver),
         2 => any::<usize>().prop_map(Step::Drop),
         1 => any::<usize>().prop_map(Step::Duplicate),
+        2 => proptest::strategy::Just(Step::DelayMessages),
+        2 => proptest::strategy::Just(Step::ReleaseDelayed),
         1 => (vm.clone(), vm.clone()).prop_map(|(a, b)| Step::BlockLink(a, b)),
         1 => vm.clone().prop_map(Step::Isolate),
         1 => proptest::strategy::Just(Step::UnblockLinks),
         1 => (vm.clone(), 0..64_usize).prop_map(|(vm, torn)| Step::Crash(vm, torn)),
         1 => (0..64_usize).prop_map(Step::CrashAll),
         2 => vm.clone().prop_map(Step::Start),
+        2 => vm.clone().prop_map(Step::Restart),
         1 => (vm.clone(), 900..1_100_u64).prop_map(|(vm, rate)| Step::SetClockRate(vm, rate)),
         6 => (1..12_usize).prop_map(Step::Settle),
         3 => (vm.clone(), 0..12_u64, 0..6_u64).prop_map(|(vm, n, base)| Step::Change(vm, n, base)),
@@ -94,18 +125,31 @@
             cluster.network.push(again);
         }
         Step::Drop(_) | Step::Duplicate(_) => {}
+        Step::DelayMessages => cluster.delay_messages(),
+        Step::ReleaseDelayed => cluster.release_delayed(),
         Step::BlockLink(from, to) => {
             cluster.blocked_links.insert((from, to));
         }
-        Step::Isolate(vm) => {
-            for other in 0..cluster.vms.len() {
-                cluster.blocked_links.extend([(vm, other), (other, vm)]);
+        Step::Isolate(vm) => cluster.isolate(vm),
+        Step::IsolateLeader => {
+            if let Some(leader) = cluster.leader() {
+                cluster.isolate(leader);
+            }
+        }
+        Step::RestartLeader => {
+            if let Some(leader) = cluster.leader() {
+                cluster.crash(leader, 0);
+                cluster.start(leader);
             }
         }
         Step::UnblockLinks => cluster.blocked_links.clear(),
         Step::Crash(vm, torn) => cluster.crash(vm, torn),
         Step::CrashAll(torn) => (0..3).for_each(|vm| cluster.crash(vm, torn)),
         Step::Start(vm) => cluster.start(vm),
+        Step::Restart(vm) => {
+            cluster.crash(vm, 0);
+            cluster.start(vm);
+        }
         Step::SetClockRate(vm, rate) => cluster.set_rate(vm, rate),
         Step::Settle(rounds) => cluster.settle(rounds),
         Step::Change(vm, number, base) => cluster.propose(vm, change(number, base)),
@@ -273,6 +317,13 @@
         run_with_manual_replacement(steps);
     }
 
+    #[test]
+    fn invariants_hold_when_messages_arrive_after_restarts_of_their_senders(
+        steps in late_message_steps(),
+    ) {
+        run_with_manual_replacement(steps);
+    }
+
     #[test]
     fn invariants_hold_in_any_history_with_automatic_repair(steps in steps()) {
         run_on(Cluster::self_repairing(3), steps, watch_repair);
--- a/papayatray_state/tests/state/replicas.rs
+++ b/papayatray_state/tests/state/replicas.rs
@@ -31,12 +31,6 @@
     (cluster, leader, lost)
 }
 
-fn isolate(cluster: &mut Cluster, vm: usize) {
-    for other in 0..cluster.vms.len() {
-        cluster.blocked_links.extend([(vm, other), (other, vm)]);
-    }
-}
-
 /// Loses the disk of a VM and replaces its replica the way an operator does.
 fn repair(cluster: &mut Cluster, lost: usize) {
     let predecessor = cluster.vms[lost].id.clone();
@@ -66,7 +60,7 @@
 #[test]
 fn isolated_leader_acknowledges_nothing_and_another_takes_over() {
     let (mut cluster, old) = settled_cluster();
-    isolate(&mut cluster, old);
+    cluster.isolate(old);
     cluster.propose(old, change(1, 0));
     cluster.settle(60);
     let new = cluster.leader().expect("the majority elects a leader");
@@ -89,7 +83,7 @@
     let (mut cluster, leader) = settled_cluster();
     let follower = (leader + 1) % 3;
     let term = cluster.node(leader).replica().term();
-    isolate(&mut cluster, follower);
+    cluster.isolate(follower);
     cluster.settle(400);
     cluster.blocked_links.clear();
     cluster.settle(60);
@@ -395,8 +389,8 @@
 #[test]
 fn replicas_that_were_confirmed_late_elect_a_leader_without_another_timeout() {
     let (mut cluster, _) = settled_cluster();
-    isolate(&mut cluster, 0);
-    isolate(&mut cluster, 1);
+    cluster.isolate(0);
+    cluster.isolate(1);
     restart_all(&mut cluster, 0);
     cluster.settle(25);
     cluster.blocked_links.clear();
--- a/papayatray_state/tests/state/restarts.rs
+++ b/papayatray_state/tests/state/restarts.rs
@@ -7,6 +7,7 @@
 use papayatray_state::replica::Position;
 
 use crate::cluster::Cluster;
+use crate::cluster::change;
 use crate::replicas::settled_cluster;
 use crate::single::START;
 use crate::single::Single;
@@ -31,6 +32,42 @@
     assert!(leader.is_some(), "case {case}\n{}", cluster.describe());
 }
 
+/// Guards against a lease that counts answers to heartbeats of the leader's earlier process.
+#[test]
+fn answer_to_an_earlier_process_extends_no_lease() {
+    let (mut cluster, leader) = settled_cluster();
+    let (near, far) = ((leader + 1) % 3, (leader + 2) % 3);
+    // The times of the first process lie 20 s ahead of the clock of the second one.
+    cluster.settle(500);
+    cluster.advance(100);
+    cluster.delay_messages();
+    cluster.crash(leader, 0);
+    cluster.crash(far, 0);
+    cluster.start(leader);
+    cluster.settle(60);
+    if cluster.leader() == Some(near) {
+        let now = cluster.clock(near);
+        cluster
+            .node_mut(near)
+            .replica_mut()
+            .transfer_leadership(now);
+        cluster.settle(20);
+    }
+    cluster.start(far);
+    cluster.settle(20);
+    assert_eq!(cluster.leader(), Some(leader), "{}", cluster.describe());
+    cluster.release_delayed();
+    cluster.settle(2);
+    cluster.isolate(leader);
+    // The invariants of the cluster allow one current leader at a time.
+    cluster.settle(60);
+    let next = cluster.leader().expect("the others elect a leader");
+    cluster.propose(next, change(1, 0));
+    cluster.settle(10);
+    let replica = cluster.node(leader).replica();
+    assert!(!replica.is_current(cluster.clock(leader)));
+}
+
 /// Guards against waiting for the lease of a leader that all members have confirmed to be gone.
 #[test]
 fn replicas_that_have_all_restarted_elect_at_once() {
@@ -115,7 +152,7 @@
 /// Guards against a promise that is taken for void although its leader leads.
 #[test]
 fn leader_does_not_confirm_the_start_of_another_replica() {
-    let mut single = Single::lead();
+    let (mut single, _) = Single::lead();
     let request = Message::RollbackCheckRequest {
         term: Term(2),
         last: 2,
--- a/papayatray_state/tests/state/single.rs
+++ b/papayatray_state/tests/state/single.rs
@@ -1,6 +1,8 @@
 //! One replica whose peers the test simulates, for rules of Raft that generated histories rarely
 //! exercise.
 
+use std::collections::BTreeMap;
+
 use papayatray_core::clock::Millis;
 use papayatray_core::id::Incarnation;
 use papayatray_core::id::Term;
@@ -18,6 +20,7 @@
 use papayatray_state::replica::Replica;
 use papayatray_state::replica::ReplicaId;
 use papayatray_state::replica::Role;
+use papayatray_state::replica::SendMark;
 use papayatray_state::replica::Snapshot;
 
 /// Time at which the replica starts.
@@ -93,15 +96,15 @@
         self.requested_start
     }
 
-    /// Makes the replica the leader of term 2.
-    pub fn lead() -> Self {
+    /// Makes the replica the leader of term 2; returns the mark of its first messages too.
+    pub fn lead() -> (Self, SendMark) {
         let mut single = Self::start();
         single.replica.tick(ELECTION_DUE);
         let (term, granted) = (Term(2), true);
         single.receive(2, ELECTION_DUE, Message::PreVoteReply { term, granted });
-        single.receive(2, ELECTION_DUE, Message::VoteReply { term, granted });
+        let elected = single.receive(2, ELECTION_DUE, Message::VoteReply { term, granted });
         assert_eq!(single.replica.role(), Role::Leader);
-        single
+        (single, last_mark(&elected))
     }
 
     /// Delivers a message, makes its effects durable, and returns them.
@@ -140,13 +143,22 @@
     })
 }
 
+/// Returns the mark of the last message that the leader has sent.
+fn last_mark(ready: &Ready) -> SendMark {
+    let mut marks = ready.messages.iter().filter_map(|sent| match sent.message {
+        Message::AppendRequest { mark, .. } => Some(mark),
+        _ => None,
+    });
+    marks.next_back().expect("a message with a mark")
+}
+
 /// Returns a reply that acknowledges the log up to `index` to the leader of term 2.
-const fn append_reply(index: u64, sent: Millis) -> Message {
+const fn append_reply(index: u64, mark: SendMark) -> Message {
     Message::AppendReply {
         term: Term(2),
         matched: Some(index),
         last: index,
-        sent,
+        mark,
     }
 }
 
@@ -172,11 +184,11 @@
 
 #[test]
 fn leader_counts_itself_only_for_entries_durable_on_its_disk() {
-    let mut single = Single::lead();
-    single.receive(2, ELECTION_DUE, append_reply(3, ELECTION_DUE));
+    let (mut single, mark) = Single::lead();
+    single.receive(2, ELECTION_DUE, append_reply(3, mark));
     assert_eq!(single.replica.commit(), 3);
     let index = single.replica.propose(ELECTION_DUE, vec![vec![1]]).unwrap();
-    single.receive_unsynced(2, ELECTION_DUE, append_reply(index, ELECTION_DUE));
+    single.receive_unsynced(2, ELECTION_DUE, append_reply(index, mark));
     assert_eq!(
         single.replica.commit(),
         3,
@@ -188,10 +200,10 @@
 
 #[test]
 fn leader_lease_is_counted_from_when_the_answered_message_was_sent() {
-    let mut single = Single::lead();
+    let (mut single, mark) = Single::lead();
     let sent = ELECTION_DUE;
     let answered = sent + Millis::new(200);
-    single.receive(2, answered, append_reply(3, sent));
+    single.receive(2, answered, append_reply(3, mark));
     let end = sent + LEADER_LEASE;
     assert_eq!(single.replica.current_until(answered), Some(end));
     single.replica.tick(end);
@@ -206,17 +218,74 @@
 fn entry_of_an_older_term_is_not_committed_by_counting_its_replicas() {
     // The entry of term 1 was never committed by its own leader; a later leader may commit it only
     // together with an entry of its own term.
-    let mut single = Single::lead();
-    single.receive(2, ELECTION_DUE, append_reply(2, ELECTION_DUE));
+    let (mut single, mark) = Single::lead();
+    single.receive(2, ELECTION_DUE, append_reply(2, mark));
     assert_eq!(
         single.replica.commit(),
         1,
         "a quorum has stored the entry, but another leader may still replace it"
     );
-    single.receive(2, ELECTION_DUE, append_reply(3, ELECTION_DUE));
+    single.receive(2, ELECTION_DUE, append_reply(3, mark));
     assert_eq!(
         single.replica.commit(),
         3,
         "the leader's own entry commits both"
     );
 }
+
+/// Guards against an answer that moves the lease although another process or term sent the message.
+#[test]
+fn answer_that_belongs_to_no_message_of_the_leadership_acknowledges_nothing() {
+    let (mut single, mark) = Single::lead();
+    single.receive(2, ELECTION_DUE, append_reply(3, mark));
+    let end = ELECTION_DUE + LEADER_LEASE;
+    let times = [1, ELECTION_DUE.as_u64(), 3_600_000, u64::MAX];
+    let foreign = times.map(|time| postcard::to_stdvec(&time).unwrap());
+    let foreign = foreign.map(|bytes| postcard::from_bytes(&bytes).unwrap());
+    for mark in [SendMark::NONE].into_iter().chain(foreign) {
+        let later = ELECTION_DUE + Millis::new(100);
+        for matched in [None, Some(3)] {
+            let reply = Message::AppendReply {
+                term: Term(2),
+                matched,
+                last: 9,
+                mark,
+            };
+            single.receive(3, later, reply);
+        }
+        assert_eq!(single.replica.current_until(later), Some(end), "{mark:?}");
+    }
+    assert_eq!(single.replica.foreign_replies(), 10);
+}
+
+/// Guards against an answer that looks like an acknowledgement to a leader of an earlier build, which
+/// takes the mark for a time.
+#[test]
+fn message_of_an_older_term_is_answered_without_its_mark() {
+    let mut single = Single::start();
+    let mark: SendMark = postcard::from_bytes(&[7]).unwrap();
+    let rejected = single.receive(
+        2,
+        START,
+        Message::AppendRequest {
+            term: Term(0),
+            previous: position(0, 1),
+            entries: Vec::new(),
+            commit: 1,
+            mark,
+            acknowledged_by: BTreeMap::new(),
+        },
+    );
+    let [reply] = rejected.messages.as_slice() else {
+        panic!("one answer, not {:?}", rejected.messages);
+    };
+    assert_eq!(
+        reply.message,
+        Message::AppendReply {
+            term: Term(1),
+            matched: None,
+            last: 2,
+            mark: SendMark::NONE,
+        }
+    );
+}
--- a/papayatrayd/src/control/control_loop.rs
+++ b/papayatrayd/src/control/control_loop.rs
@@ -46,6 +46,8 @@
 const REOPEN_BACKOFF: Millis = Millis::new(500);
 /// Interval at which a replica that waits to take part says so.
 const BOOT_LOG_INTERVAL: Millis = Millis::from_secs(1);
+/// Minimum interval of lines on ignored answers of other replicas.
+const FOREIGN_LOG_INTERVAL: Millis = Millis::from_secs(1);
 
 /// Lease renewal whose reply is delayed until there is something new, or until the poll times out.
 #[derive(Debug)]
@@ -68,6 +70,8 @@
     last_proposal: ProposalId,
     /// Role when it was last logged.
     role: Role,
+    /// Ignored answers of other replicas when they were last logged, and the time of that.
+    foreign_replies: (u64, Millis),
     /// Boot stage when it was last logged; empty before the first time.
     boot_stage: &'static str,
     /// Time at which the boot stage was last logged.
@@ -99,6 +103,7 @@
             pending_renewals: Vec::new(),
             last_proposal: 0,
             role: Role::Follower,
+            foreign_replies: (0, Millis::ZERO),
             opener,
             observer,
             last_reopened_at: Millis::ZERO,
@@ -178,6 +183,7 @@
             }
         }
         self.track_role(now);
+        self.log_foreign_replies(now);
         self.log_halt();
         self.bound_admission();
         self.maintain_leader(now);
@@ -221,6 +227,23 @@
         }
     }
 
+    /// Logs how many answers of other replicas have been ignored, if there are new ones.
+    fn log_foreign_replies(&mut self, now: Millis) {
+        let replica = self.node.replica();
+        let count = replica.foreign_replies();
+        let (logged, logged_at) = self.foreign_replies;
+        if count <= logged || now.since(logged_at) < FOREIGN_LOG_INTERVAL {
+            return;
+        }
+        self.foreign_replies = (count, now);
+        self.metrics.gauge("control.foreign_replies", count);
+        event(
+            Level::Warn,
+            "foreign_replies_ignored",
+            &[("new", &(count - logged)), ("term", &replica.term())],
+        );
+    }
+
     /// Logs the boot stage, with what decides whether the replica takes part.
     fn log_boot(&self, stage: &'static str) {
         let replica = self.node.replica();
@@ -280,6 +303,8 @@
         match opened {
             Ok(node) => {
                 self.node = node;
+                // The new replica counts from zero.
+                self.foreign_replies.0 = 0;
                 self.leader_state = None;
                 self.fail_proposals();
             }
--- a/papayatrayd/src/gateway/control_state.rs
+++ b/papayatrayd/src/gateway/control_state.rs
@@ -77,6 +77,8 @@
     controls: Vec<String>,
     /// End of the leader lease, while this replica is the leader.
     lease_end: Option<Millis>,
+    /// Answers of other replicas that this one has ignored.
+    foreign_replies: u64,
 }
 
 #[derive(Debug)]
@@ -206,6 +208,11 @@
         self.inner().applied.has_leader_lease(now)
     }
 
+    /// Returns the number of answers of other replicas that this one has ignored.
+    pub(super) fn foreign_replies(&self) -> u64 {
+        self.inner().applied.foreign_replies
+    }
+
     /// Returns the number of endpoints that accept requests, and of entries that sync.
     pub(super) fn counts(&self) -> (usize, usize) {
         let inner = self.inner();
@@ -244,6 +251,7 @@
         let applied = &mut inner.applied;
         let led_before = applied.has_leader_lease(now);
         applied.lease_end = node.replica().current_until(now);
+        applied.foreign_replies = node.replica().foreign_replies();
         // Entries renew their evidence at the leader, so they must hear of a new one at once.
         let mut is_changed = has_new_plan || led_before != applied.has_leader_lease(now);
         if machine.rollouts().changes() > applied.rollouts.changes() {
--- a/papayatrayd/src/gateway/metrics.rs
+++ b/papayatrayd/src/gateway/metrics.rs
@@ -59,6 +59,9 @@
     pub cold: usize,
     /// Whether this control replica holds the leader lease.
     pub is_leader: bool,
+    /// Answers of other replicas that this control replica has ignored, as it has sent no message of its
+    /// present leadership that they belong to.
+    pub foreign_replies: u64,
     /// Format level in force; 0 at an entry.
     pub format_level: u16,
     /// Lowest format level that the processes read, as the leader knows; 0 at other processes.
@@ -86,6 +89,7 @@
     unreachable: Gauge,
     cold: Gauge,
     is_leader: Gauge,
+    foreign_replies: Gauge,
     format_level: Gauge,
     format_lowest: Gauge,
     evacuated: Gauge,
@@ -111,6 +115,7 @@
             unreachable: Gauge::default(),
             cold: Gauge::default(),
             is_leader: Gauge::default(),
+            foreign_replies: Gauge::default(),
             format_level: Gauge::default(),
             format_lowest: Gauge::default(),
             evacuated: Gauge::default(),
@@ -179,6 +184,11 @@
                 "1 on the control replica that leads, else 0",
                 &self.is_leader,
             ),
+            (
+                "foreign_replies",
+                "Answers of other replicas that belong to no message of this one's leadership",
+                &self.foreign_replies,
+            ),
             (
                 "format_level",
                 "Format level in force, at a control replica",
@@ -255,6 +265,7 @@
         self.unreachable.set(to_gauge(values.unreachable as u64));
         self.cold.set(to_gauge(values.cold as u64));
         self.is_leader.set(i64::from(values.is_leader));
+        self.foreign_replies.set(to_gauge(values.foreign_replies));
         self.format_level.set(i64::from(values.format_level));
         self.format_lowest.set(i64::from(values.format_lowest));
         self.evacuated.set(to_gauge(values.evacuated as u64));
--- a/papayatrayd/src/gateway/operator.rs
+++ b/papayatrayd/src/gateway/operator.rs
@@ -132,6 +132,7 @@
             entries,
             suspects: self.state.suspect_count(),
             is_leader: self.state.has_leader_lease(),
+            foreign_replies: self.state.foreign_replies(),
             format_level: self.state.level().0,
             format_lowest: self.state.lowest_level().0,
             evacuated: self.state.evacuations().len(),
