fix(state): found a group only on announcements to the present folder

Found by the simulation with late messages, not seen on a machine: a control VM that lost its disk right after the founding stayed out of the group for good, which so ran on two of three replicas.

Cause: founders announce an empty folder to a VM, whichever replica it runs. Announcements from before the founding that reached the first founder's new replica late made it found a group of its own, in which nobody else was; as it was not blank any more, no leader admitted it.

A blank replica now answers another one's announcement with its own, addressed to that folder, and only these count for the founding. The sender of one was blank after the folder was created, so no group has it.

Tests: `late_announcements_of_blank_founders_found_no_second_group` failed before.

--- a/papayatray_state/src/replica/boot.rs
+++ b/papayatray_state/src/replica/boot.rs
@@ -65,6 +65,9 @@
     address: String,
     predecessor: Option<ReplicaId>,
     last_heard: Millis,
+    /// Whether it has announced itself to the replica on this folder, so that it was blank after the
+    /// folder was created.
+    has_answered: bool,
 }
 
 impl Boot {
@@ -199,19 +202,23 @@
         let founders = self.boot.founders.keys();
         let vms: Vec<VmId> = founders.filter(|vm| **vm != self.id.vm).cloned().collect();
         for vm in vms {
-            let to = placeholder_id(&vm);
-            let message = Message::AnnounceBlank {
-                address: self.address.clone(),
-                predecessor: self.boot.predecessor.clone(),
-            };
-            self.send(&to, message);
+            self.announce_blank_to(&placeholder_id(&vm));
         }
     }
 
-    /// Founds the deployment once every founder has announced itself as blank.
+    fn announce_blank_to(&mut self, to: &ReplicaId) {
+        let message = Message::AnnounceBlank {
+            address: self.address.clone(),
+            predecessor: self.boot.predecessor.clone(),
+        };
+        self.send(to, message);
+    }
+
+    /// Founds the deployment once every founder has announced itself as blank to this replica's folder.
     ///
     /// Only the founder whose VM name sorts first does so. A founder with a predecessor has been a
-    /// member before, so a deployment exists already.
+    /// member before, so a deployment exists already. An announcement to the VM alone may be older than
+    /// the folder, and its sender may have become a member since.
     fn try_bootstrap(&mut self) {
         let first = self.boot.founders.keys().next();
         let is_first = first == Some(&self.id.vm) && self.boot.can_bootstrap;
@@ -229,7 +236,7 @@
             let Some((id, blank)) = on_vm.next_back() else {
                 return;
             };
-            if blank.predecessor.is_some() {
+            if blank.predecessor.is_some() || !blank.has_answered {
                 return;
             }
             replicas.insert(id.clone(), address.clone());
@@ -312,7 +319,7 @@
                 address,
                 predecessor,
             } => {
-                self.on_blank(from, address, predecessor.as_ref());
+                self.on_blank(from, to, address, predecessor.as_ref());
                 self.forward_blank(from, address, to, message);
             }
             Message::Bootstrap { members } => self.on_bootstrap(members),
@@ -363,16 +370,27 @@
         self.open_if_confirmed();
     }
 
-    fn on_blank(&mut self, from: &ReplicaId, address: &str, predecessor: Option<&ReplicaId>) {
+    fn on_blank(
+        &mut self,
+        from: &ReplicaId,
+        to: &ReplicaId,
+        address: &str,
+        predecessor: Option<&ReplicaId>,
+    ) {
+        let known = self.boot.blanks.get(from);
         let blank = BlankReplica {
             address: address.to_owned(),
             predecessor: predecessor.cloned(),
             last_heard: self.now,
+            has_answered: *to == self.id || known.is_some_and(|known| known.has_answered),
         };
         self.boot.blanks.retain(|id, _| id.vm != from.vm);
         self.boot.blanks.insert(from.clone(), blank);
         self.record_replaced(from);
         if self.log.members().is_empty() {
+            if self.boot.stage == Stage::Blank && *to != self.id {
+                self.announce_blank_to(from);
+            }
             return;
         }
         let founding = self.log.members().clone();
--- a/papayatray_state/tests/state/restarts.rs
+++ b/papayatray_state/tests/state/restarts.rs
@@ -68,6 +68,23 @@
     assert!(!replica.is_current(cluster.clock(leader)));
 }
 
+/// Guards against a second founding by announcements from before the first one.
+#[test]
+fn late_announcements_of_blank_founders_found_no_second_group() {
+    let mut cluster = Cluster::new(3);
+    cluster.advance(200);
+    cluster.delay_messages();
+    cluster.settle(60);
+    assert!(cluster.leader().is_some());
+    cluster.crash(0, 0);
+    cluster.wipe(0);
+    cluster.start(0);
+    cluster.release_delayed();
+    cluster.settle(60);
+    let boot = cluster.node(0).replica().boot();
+    assert!(boot.is_blank(), "{}", cluster.describe());
+}
+
 /// Guards against waiting for the lease of a leader that all members have confirmed to be gone.
 #[test]
 fn replicas_that_have_all_restarted_elect_at_once() {
