fix(gateway): take a status that no final response has for a failure

A caller that asked for no upgrade got `101 Switching Protocols`.

Cause: the HTTP library takes statuses from 100 to 999, and 101 for a final one; nothing after it asked. 000, 099 and 0 were refused by the library.

Statuses outside 200 to 599 are now failures of the endpoint, which may have run the request, where response heads are read: for endpoints and for entries that carry attempts, on routes of each kind.

Tests: `status_that_no_final_response_has_is_a_failure_of_the_endpoint` and `request_is_repeated_after_an_invalid_status` failed with the check taken out ("101 Switching Protocols directly /safe/x").

--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -359,6 +359,10 @@
                 self.gateway.detect_crash(attempt.lost(&self.request));
                 self.record_failed_run(&attempt).map(|()| None)
             }
+            Some(Err(ExchangeError::InvalidStatus(_))) => {
+                self.record_failure(&attempt);
+                self.record_failed_run(&attempt).map(|()| None)
+            }
             Some(Err(ExchangeError::Withdrawn(cause))) => {
                 self.possible_runs += 1;
                 self.log_quarantine(cause);
@@ -541,6 +545,7 @@
             Some(Err(ExchangeError::UnreachableElsewhere)) => "unreachable_elsewhere",
             Some(Err(ExchangeError::NotSent(_) | ExchangeError::Declined(_))) => "not_sent",
             Some(Err(ExchangeError::Lost(_) | ExchangeError::HopLost(_))) => "lost",
+            Some(Err(ExchangeError::InvalidStatus(_))) => "invalid_status",
             Some(Err(ExchangeError::Withdrawn(_))) => "withdrawn",
             None => "timed_out",
         });
--- a/papayatrayd/src/gateway/connection_pool.rs
+++ b/papayatrayd/src/gateway/connection_pool.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -54,6 +55,8 @@
 /// Minimum size of a long request body. Its connection is not reused, as the response may arrive
 /// before the whole body has been sent.
 const LONG_BODY_BYTES: usize = 64 << 10;
+/// Statuses of a final response; the HTTP library also takes those from 600 to 999, and 101, for one.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// Reason why an exchange produced no response.
 #[derive(Debug, Display)]
@@ -64,6 +67,8 @@
     NotSent(String),
     /// the connection was lost, and the endpoint may have run the request: {0}
     Lost(String),
+    /// the endpoint may have run the request; its status {0} is not one of a final response
+    InvalidStatus(u16),
     /// no entry carries the request to the endpoint for now: {0}
     Declined(String),
     /// another entry could not connect to the endpoint either
@@ -175,7 +180,8 @@
     /// # Errors
     ///
     /// Returns the error of `open` or [`ExchangeError::NotSent`] if the other end certainly received
-    /// nothing, and [`ExchangeError::Lost`] if the request may have been run.
+    /// nothing, and [`ExchangeError::Lost`] or [`ExchangeError::InvalidStatus`] if the request may have
+    /// been run.
     pub(super) async fn send<F>(
         &self,
         key: &ConnectionKey,
@@ -358,7 +364,7 @@
 /// # Errors
 ///
 /// Returns [`ExchangeError::NotSent`] if the endpoint certainly received nothing, and
-/// [`ExchangeError::Lost`] if it may have run the request.
+/// [`ExchangeError::Lost`] or [`ExchangeError::InvalidStatus`] if it may have run the request.
 async fn send_request(
     mut connection: EndpointConnection,
     outgoing: &OutgoingRequest,
@@ -367,6 +373,10 @@
     let sent = connection.sender.try_send_request(outgoing.request()).await;
     connection.head_limit.end_head();
     match sent {
+        // Requests ask for no upgrade, so that 101 is no answer to one either.
+        Ok(response) if !FINAL_STATUSES.contains(&response.status().as_u16()) => {
+            Err(ExchangeError::InvalidStatus(response.status().as_u16()))
+        }
         Ok(response) => {
             let is_closing = response
                 .headers()
--- a/papayatrayd/src/gateway/exchange.rs
+++ b/papayatrayd/src/gateway/exchange.rs
@@ -19,8 +19,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ExchangeError::Lost`] or [`ExchangeError::HopLost`] if the endpoint may have run the
-    /// request, and another error if the endpoint certainly received nothing.
+    /// Returns [`ExchangeError::Lost`], [`ExchangeError::HopLost`] or [`ExchangeError::InvalidStatus`] if the
+    /// endpoint may have run the request, and another error if the endpoint certainly received nothing.
     pub(super) async fn exchange(
         &self,
         endpoint: &SelectedEndpoint,
@@ -41,7 +41,8 @@
     /// # Errors
     ///
     /// Returns [`ExchangeError::Unreachable`] or [`ExchangeError::NotSent`] if the endpoint certainly
-    /// received nothing, and [`ExchangeError::Lost`] if it may have run the request.
+    /// received nothing, and [`ExchangeError::Lost`] or [`ExchangeError::InvalidStatus`] if it may have run
+    /// the request.
     pub(super) async fn exchange_directly(
         &self,
         endpoint: &SelectedEndpoint,
--- a/papayatrayd/tests/gateway/main.rs
+++ b/papayatrayd/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod evacuations;
 mod headers;
 mod homes;
+mod invalid_responses;
 mod leaving;
 mod liveness;
 mod narrow_link;
