fix(gateway): do not believe "not run" in a response to another request

An endpoint sent a late 503 with the mark "not run" and the id of the request before.

Cause: the mark was read before the id of the response was compared. A mark now counts only in a response that names this request or none, as endpoints that turn a request away may leave the id out.

Test: `not_run_mark_of_another_request_is_not_believed` failed before (every caller got a 200; the request was sent on after it may have run).

--- a/papayatrayd/src/gateway/attempts.rs
+++ b/papayatrayd/src/gateway/attempts.rs
@@ -447,11 +447,17 @@
             &self.request.metadata.id,
             attempt.started_at,
         );
-        if metadata.not_run {
+        // An endpoint that turns a request away may leave its id out, but names no other one.
+        let own_id = self.request.metadata.id.as_str();
+        let names_other = metadata
+            .request_id
+            .as_deref()
+            .is_some_and(|id| id != own_id);
+        if metadata.not_run && !names_other {
             self.record_rejection(&attempt);
             return Ok(None);
         }
-        if metadata.request_id.as_deref() != Some(&self.request.metadata.id) {
+        if metadata.request_id.as_deref() != Some(own_id) {
             // The response belongs to another request and must not reach this caller.
             self.record_failure(&attempt);
             self.record_failed_run(&attempt)?;
--- a/papayatrayd/tests/gateway/invalid_responses.rs
+++ b/papayatrayd/tests/gateway/invalid_responses.rs
@@ -1,6 +1,7 @@
-//! Responses that are no answer to the request: statuses that no final response has, and responses whose
-//! connection breaks while the request is still being sent.
+//! Responses that are no answer to the request: statuses that no final response has, responses that belong
+//! to another request, and responses whose connection breaks while the request is still being sent.
 
+use std::collections::BTreeSet;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -19,6 +20,7 @@
 use crate::endpoint::Failure;
 use crate::endpoint::FakeEndpoint;
 use crate::endpoint::Step;
+use crate::endpoint::not_run;
 use crate::endpoint::response;
 use crate::rig::AMPLE_RETRIES;
 use crate::rig::ReceivedResponse;
@@ -121,6 +123,25 @@
     }
 }
 
+/// Guards against believing the mark "not run" of a late response to another request.
+#[test]
+fn not_run_mark_of_another_request_is_not_believed() {
+    let faulty = FakeEndpoint::start(|_, request| {
+        let text = String::from_utf8(not_run(request)).unwrap();
+        vec![Step::Send(text.replace("r-1", "r-0").into_bytes())]
+    });
+    let sound =
+        FakeEndpoint::start(|_, request| vec![Step::Send(response(request, "200 OK", "whole"))]);
+    let rig = Rig::start(&[&faulty, &sound]);
+    let mut statuses = BTreeSet::new();
+    while faulty.requests().is_empty() {
+        statuses.insert(rig.request("/once/x", "").status);
+    }
+    // The last request may have run at the first endpoint, so it gets no other one.
+    assert!(statuses.contains(&502), "{statuses:?}");
+    assert!(statuses.is_subset(&BTreeSet::from([200, 502])));
+}
+
 /// Starts an endpoint that answers at the head of a request with a part of a body without a length, and
 /// resets the connection after `pause` with the upload unread; returns its address and the number of
 /// its answers.
